--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -7,7 +7,7 @@
 //! | `cf/j/{job}` | a live job's description | any node, create-only |
 //! | `cf/t/{job}` | a job's final phase, kept for ever | the leader, or anyone while there is none |
 //! | `cf/p/{job}/{chunk}` | which tasks are done, as a hexadecimal bitmap | the leader |
-//! | `cf/m/{machine}` | a machine that may have been given tasks | the leader |
+//! | `cf/r/{page}` | the roster: machines that may have been given tasks | the leader |
 //!
 //! A job's end moves it from `cf/j/` to `cf/t/` in one transaction. A reader
 //! therefore asks for `cf/j/` first and `cf/t/` second: whichever way it
@@ -29,7 +29,7 @@
 pub const FOUNDED: &str = "cf/founded";
 pub const JOBS: &str = "cf/j/";
 pub const PROGRESS: &str = "cf/p/";
-pub const MACHINES: &str = "cf/m/";
+pub const ROSTER: &str = "cf/r/";
 
 pub fn job_key(job: JobId) -> String {
     format!("{JOBS}{job}")
@@ -43,8 +43,8 @@
     format!("{PROGRESS}{job}/{chunk:04}")
 }
 
-pub fn machine_key(machine: &str) -> String {
-    format!("{MACHINES}{machine}")
+pub fn roster_key(page: u32) -> String {
+    format!("{ROSTER}{page:05}")
 }
 
 /// A live job's record: the submission and when it was accepted (time of day).
@@ -88,7 +88,26 @@
     pub jobs: Vec<StoredJob>,
     /// Bitmap chunks with their versions.
     pub progress: Vec<(JobId, u32, Vec<u8>, u64)>,
-    pub machines: Vec<(String, MachineRecord, u64)>,
+    pub roster: Vec<RosterPage>,
+}
+
+impl Snapshot {
+    pub fn machines(&self) -> usize {
+        self.roster
+            .iter()
+            .flat_map(|p| &p.machines)
+            .map(Vec::len)
+            .sum()
+    }
+}
+
+/// One stored page of the roster.
+#[derive(Debug)]
+pub struct RosterPage {
+    pub page: u32,
+    pub version: u64,
+    /// None if it does not parse.
+    pub machines: Option<Vec<(String, MachineRecord)>>,
 }
 
 #[derive(Debug, Clone)]
--- a/src/bookkeeping/writer.rs
+++ b/src/bookkeeping/writer.rs
@@ -16,16 +16,13 @@
 
 use super::store::{Store, StoreError, put};
 use super::{
-    LEADER, job_key, machine_key, parse_terminal, progress_key, terminal_key, terminal_record,
+    LEADER, job_key, parse_terminal, progress_key, roster_key, terminal_key, terminal_record,
 };
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Write {
     /// The end of a job: its final phase appears, its description goes.
-    Finish {
-        job: JobId,
-        version: u64,
-    },
+    Finish { job: JobId, version: u64 },
     Progress {
         job: JobId,
         chunk: u32,
@@ -37,15 +34,11 @@
         chunk: u32,
         version: u64,
     },
-    Machine {
-        machine: String,
+    Roster {
+        page: u32,
         value: Value,
         version: u64,
     },
-    DropMachine {
-        machine: String,
-        version: u64,
-    },
 }
 
 impl Write {
@@ -82,18 +75,14 @@
                 let key = progress_key(*job, *chunk);
                 (key.clone(), *version, Change::Delete { key })
             }
-            Self::Machine {
-                machine,
+            Self::Roster {
+                page,
                 value,
                 version,
             } => {
-                let key = machine_key(machine);
+                let key = roster_key(*page);
                 (key.clone(), *version, put(key, value.clone()))
             }
-            Self::DropMachine { machine, version } => {
-                let key = machine_key(machine);
-                (key.clone(), *version, Change::Delete { key })
-            }
         };
         txn.conditions.push((key, version));
         txn.changes.push(change);
@@ -106,9 +95,7 @@
             Self::Progress { job, chunk, .. } | Self::DropProgress { job, chunk, .. } => {
                 progress_key(*job, *chunk)
             }
-            Self::Machine { machine, .. } | Self::DropMachine { machine, .. } => {
-                machine_key(machine)
-            }
+            Self::Roster { page, .. } => roster_key(*page),
         }
     }
 }
@@ -155,7 +142,7 @@
                 .into_iter()
                 .map(|w| {
                     let version = match w {
-                        Write::DropProgress { .. } | Write::DropMachine { .. } => 0,
+                        Write::DropProgress { .. } => 0,
                         _ => revision,
                     };
                     (w, Written::Stored { version })
@@ -192,9 +179,7 @@
                 }
             },
             (Write::Finish { version, .. }, None) => Written::Again { version: *version },
-            (Write::DropProgress { .. } | Write::DropMachine { .. }, None) => {
-                Written::Stored { version: 0 }
-            }
+            (Write::DropProgress { .. }, None) => Written::Stored { version: 0 },
             (_, item) => Written::Again {
                 version: item.map_or(0, |i| i.version),
             },
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -17,6 +17,7 @@
 
 use super::fleet::Fleet;
 use super::model::*;
+use super::roster::Roster;
 
 /// The batch window of the design.
 pub const WINDOW_S: f64 = 0.2;
@@ -26,7 +27,7 @@
 /// How long a job's done bits may wait to be stored together.
 const PROGRESS_EVERY_S: f64 = 2.0;
 /// Values in one transaction, under the 64 KiB that it may have.
-const TXN_BYTES: usize = 40 * 1024;
+pub(super) const TXN_BYTES: usize = 40 * 1024;
 
 #[derive(Debug)]
 pub enum Input {
@@ -184,7 +185,9 @@
     writing: bool,
     finish: VecDeque<u32>,
     drop_progress: VecDeque<(JobId, u32, u64)>,
-    drop_machines: VecDeque<(String, u64)>,
+    pub(super) roster: Roster,
+    /// A page of the roster cannot be read: any machine may hold anything.
+    pub(super) unknown_machines: bool,
     next_batch: Time,
     next_second: Time,
     /// No earlier leader's start can be anywhere unknown any more.
@@ -244,7 +247,8 @@
             writing: false,
             finish: VecDeque::new(),
             drop_progress: VecDeque::new(),
-            drop_machines: VecDeque::new(),
+            roster: Roster::new(value_bytes),
+            unknown_machines: false,
             next_batch: now,
             next_second: now,
             settled: false,
@@ -256,16 +260,8 @@
         for (id, chunk, bits, version) in snapshot.progress {
             core.restore_progress(id, chunk, &bits, version);
         }
-        for (name, record, version) in snapshot.machines {
-            let kind = core.types.intern(&record.machine_type);
-            let zone = core.zones.intern(&record.zone);
-            let images = record.images.iter().map(|i| core.intern_image(i, 0.0));
-            let images = images.collect();
-            let ix = core.add_machine(&name, &record.address, kind, zone, record.spot);
-            let m = &mut core.machines[ix];
-            m.record = Record::Stored { version };
-            m.was_recorded = true;
-            m.images = images;
+        for page in snapshot.roster {
+            core.restore_roster(page);
         }
         for ix in core.jobs.indices() {
             core.finish_if_done(ix);
@@ -757,7 +753,7 @@
         machine.synced
             && !machine.returning
             && !machine.strays
-            && machine.record.is_stored()
+            && machine.recorded
             && machine.reclaim_at.is_none()
             && machine.quarantined_until <= self.now
             && machine.session > machine.dead_session
@@ -826,7 +822,8 @@
             strays: false,
             outbox: Vec::new(),
             flight: None,
-            record: Record::None,
+            page: None,
+            recorded: false,
             was_recorded: false,
             images: Vec::new(),
             claims: Vec::new(),
@@ -1004,9 +1001,6 @@
         machine.synced = report.token == own;
         machine.heard_at = Some(now);
         machine.address = report.address;
-        if machine.record == Record::None {
-            machine.record = Record::Stale { version: 0 };
-        }
         if let Some(notice) = report.notice_s
             && machine.reclaim_at.is_none()
         {
@@ -1014,6 +1008,7 @@
             machine.reclaim_at = Some(now + notice);
             noticed = true;
         }
+        self.enlist(m);
         let mut listed = BTreeSet::new();
         let mut strays = false;
         for t in &report.tasks {
@@ -1177,8 +1172,8 @@
             total -= gb[machine.images.remove(0) as usize];
         }
         // The next leader is told which images are where.
-        if !known && let Record::Stored { version } = machine.record {
-            machine.record = Record::Stale { version };
+        if !known {
+            self.images_changed(m);
         }
     }
 
@@ -1407,8 +1402,12 @@
     }
 
     fn lease_over_at(&self, machine: &Machine) -> Time {
-        let base = machine.answered_at.unwrap_or(self.elected_at);
-        base + self.config.cluster.workers.lease_s * DRIFT + LEASE_MARGIN_S
+        machine.answered_at.unwrap_or(self.elected_at) + self.lease_surely_s()
+    }
+
+    /// After this long without an answer a worker has surely dropped its tasks.
+    fn lease_surely_s(&self) -> f64 {
+        self.config.cluster.workers.lease_s * DRIFT + LEASE_MARGIN_S
     }
 
     fn expire_leases(&mut self) {
@@ -1431,6 +1430,9 @@
     }
 
     fn all_settled(&self) -> bool {
+        if self.unknown_machines && self.now <= self.elected_at + self.lease_surely_s() {
+            return false;
+        }
         self.machines.iter().all(|(_, m)| {
             !m.was_recorded
                 || m.synced
@@ -1443,15 +1445,6 @@
         self.settled
     }
 
-    /// A returned machine's record goes too, once no write of it is under way.
-    pub(super) fn forget_record(&mut self, machine: String, record: Record) {
-        if let Record::Stored { version } | Record::Stale { version } = record
-            && version > 0
-        {
-            self.drop_machines.push_back((machine, version));
-        }
-    }
-
     // ---- writes ----
 
     fn flush_writes(&mut self) {
@@ -1473,30 +1466,10 @@
             ops += write.changes();
             batch.push(write);
         }
-        for m in self.machines.indices() {
-            let machine = &self.machines[m];
-            let Record::Stale { version } = machine.record else {
-                continue;
-            };
-            if ops >= most {
-                break;
-            }
-            let value = serde_json::to_value(machine.record_value(
-                &self.types.names,
-                &self.zones,
-                &self.images,
-            ))
-            .expect("plain data");
-            let machine = &mut self.machines[m];
-            machine.record = Record::Writing { version };
-            ops += 1;
-            bytes += 1024;
-            batch.push(Write::Machine {
-                machine: machine.name.clone(),
-                value,
-                version,
-            });
-        }
+        let room = most.saturating_sub(ops);
+        let before = batch.len();
+        self.roster_writes(&mut batch, before + room, &mut bytes);
+        ops += batch.len() - before;
         let now = self.now;
         let chunk_tasks = self.chunk_tasks as usize;
         for (_, job) in self.jobs.iter_mut() {
@@ -1527,12 +1500,6 @@
                 });
             }
         }
-        while ops < most
-            && let Some((machine, version)) = self.drop_machines.pop_front()
-        {
-            ops += 1;
-            batch.push(Write::DropMachine { machine, version });
-        }
         while ops < most
             && let Some((job, chunk, version)) = self.drop_progress.pop_front()
         {
@@ -1565,25 +1532,7 @@
                 Write::Progress {
                     job, chunk, value, ..
                 } => self.progress_written(job, chunk, &value, &written),
-                Write::Machine { machine, .. } => {
-                    if let Some(&m) = self.machine_ids.get(&machine) {
-                        self.machines[m].record = match written {
-                            Written::Stored { version } => Record::Stored { version },
-                            Written::Again { version } => Record::Stale { version },
-                            Written::Ended(_) => continue,
-                        };
-                    } else if let Written::Stored { version } | Written::Again { version } = written
-                        && version > 0
-                    {
-                        // Returned while its record was being written.
-                        self.drop_machines.push_back((machine, version));
-                    }
-                }
-                Write::DropMachine { machine, .. } => {
-                    if let Written::Again { version } = written {
-                        self.drop_machines.push_back((machine, version));
-                    }
-                }
+                Write::Roster { page, value, .. } => self.roster_written(page, &value, &written),
                 Write::DropProgress { job, chunk, .. } => {
                     if let Written::Again { version } = written {
                         self.drop_progress.push_back((job, chunk, version));
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -158,7 +158,7 @@
             tracing::info!(machine = name, "returned: it and all on it are gone");
             self.clear_machine(m);
             let machine = self.machines.remove(m).expect("was indexed");
-            self.forget_record(name, machine.record);
+            self.strike(m, machine.page);
         }
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,7 +1,7 @@
 //! Who leads, and what runs where.
 //!
 //! `election` holds the leader key; `core` is the leader's sans-IO state
-//! machine, with submodules for the market, gangs, preemption and the fleet.
+//! machine, with submodules for the market, gangs, preemption, the fleet and its roster.
 
 pub mod auction;
 pub mod core;
@@ -12,3 +12,4 @@
 pub mod model;
 mod placement;
 mod preemption;
+mod roster;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::bookkeeping::MachineRecord;
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{Amounts, JobSpec, Kind, Phase, Priority};
@@ -204,32 +203,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Record {
-    None,
-    /// What is stored does not say all of what it should.
-    Stale {
-        version: u64,
-    },
-    Writing {
-        version: u64,
-    },
-    Stored {
-        version: u64,
-    },
-}
-
-impl Record {
-    /// Whether a record of the machine surely exists, however old.
-    pub fn is_stored(self) -> bool {
-        match self {
-            Self::None => false,
-            Self::Stored { .. } => true,
-            Self::Stale { version } | Self::Writing { version } => version > 0,
-        }
-    }
-}
-
 #[derive(Debug, Clone)]
 pub struct Flight {
     pub id: u64,
@@ -281,7 +254,11 @@
     pub strays: bool,
     pub outbox: Vec<Command>,
     pub flight: Option<Flight>,
-    pub record: Record,
+    /// Its page of the roster.
+    pub page: Option<u32>,
+    /// It surely stands on a stored page, however old.
+    pub recorded: bool,
+    /// By an earlier leader: tasks of that one may be on it.
     pub was_recorded: bool,
     pub images: Vec<u32>,
     pub claims: Vec<Claim>,
@@ -304,20 +281,6 @@
             self.unanswered_at = Some(now);
         }
     }
-
-    pub fn record_value(&self, types: &Names, zones: &Names, images: &Names) -> MachineRecord {
-        MachineRecord {
-            address: self.address.clone(),
-            machine_type: types.name(self.kind).to_string(),
-            zone: zones.name(self.zone).to_string(),
-            spot: self.spot,
-            images: self
-                .images
-                .iter()
-                .map(|&i| images.name(i).to_string())
-                .collect(),
-        }
-    }
 }
 
 /// Machine types by index; an index without an entry is a type the cloud has not described.
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,7 @@
 //! worked through in batches; what has to be done outside is done by spawned
 //! tasks that report back through the same queue.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -19,7 +19,8 @@
 use crate::bookkeeping::store::{Store, StoreError};
 use crate::bookkeeping::writer::{self, WriteError};
 use crate::bookkeeping::{
-    JOBS, MACHINES, MachineRecord, PROGRESS, Snapshot, StoredJob, bitmap, parse_job_record,
+    JOBS, MachineRecord, PROGRESS, ROSTER, RosterPage, Snapshot, StoredJob, bitmap,
+    parse_job_record,
 };
 use crate::coordination::core::{
     CancelBegin, Config, Core, DirectOutcome, Effect, Input, RentOutcome,
@@ -405,7 +406,7 @@
         tracing::info!(
             token,
             jobs = snapshot.jobs.len(),
-            machines = snapshot.machines.len(),
+            machines = snapshot.machines(),
             "recovered"
         );
         let config = Config {
@@ -802,13 +803,20 @@
 
 async fn read_snapshot(store: &Store) -> Result<(Snapshot, u64), StoreError> {
     let mut snapshot = Snapshot::default();
-    let (machines, _) = store.list(MACHINES).await?;
-    for item in machines {
-        let name = item.key[MACHINES.len()..].to_string();
-        match serde_json::from_value::<MachineRecord>(item.value) {
-            Ok(record) => snapshot.machines.push((name, record, item.version)),
-            Err(error) => tracing::error!(name, %error, "machine record does not parse"),
-        }
+    let (pages, _) = store.list(ROSTER).await?;
+    for item in pages {
+        let Ok(page) = item.key[ROSTER.len()..].parse::<u16>() else {
+            tracing::error!(key = item.key, "not a page of the roster");
+            continue;
+        };
+        // Never dropped: the core then holds back what machines unknown to it may hold.
+        let machines = serde_json::from_value::<BTreeMap<String, MachineRecord>>(item.value)
+            .inspect_err(|error| tracing::error!(page, %error, "roster page does not parse"));
+        snapshot.roster.push(RosterPage {
+            page: page.into(),
+            version: item.version,
+            machines: machines.ok().map(|m| m.into_iter().collect()),
+        });
     }
     let (progress, _) = store.list(PROGRESS).await?;
     for item in progress {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write as _;
 
 use copperfield::bookkeeping::writer::{Write as Store, Written};
-use copperfield::bookkeeping::{MachineRecord, Snapshot, StoredJob};
+use copperfield::bookkeeping::{MachineRecord, RosterPage, Snapshot, StoredJob};
 use copperfield::coordination::core::{Config, Core, DirectOutcome, Effect, Input};
 use copperfield::protocol::JobId;
 use copperfield::protocol::cloud::parse_types;
@@ -41,6 +41,14 @@
     JobSpec::from_json(&body).expect("valid")
 }
 
+fn roster(machines: Vec<(String, MachineRecord)>) -> Vec<RosterPage> {
+    vec![RosterPage {
+        page: 0,
+        version: 7,
+        machines: Some(machines),
+    }]
+}
+
 fn stored(id: u64, version: u64, extra: Value) -> StoredJob {
     StoredJob {
         spec: spec(id, extra),
@@ -50,7 +58,7 @@
     }
 }
 
-fn recorded(name: &str, zone: &str) -> (String, MachineRecord, u64) {
+fn recorded(name: &str, zone: &str) -> (String, MachineRecord) {
     let record = MachineRecord {
         address: "10.1.0.1:9000".into(),
         machine_type: "m4".into(),
@@ -58,7 +66,7 @@
         spot: false,
         images: vec!["img".into()],
     };
-    (name.into(), record, 7)
+    (name.into(), record)
 }
 
 impl Play {
@@ -115,7 +123,11 @@
                         .iter()
                         .map(|w| match w {
                             Store::Finish { job, .. } => format!("{job} is done"),
-                            Store::Machine { machine, .. } => format!("record of {machine}"),
+                            Store::Roster { value, .. } => {
+                                let names: Vec<&String> =
+                                    value.as_object().expect("a map").keys().collect();
+                                format!("roster {names:?}")
+                            }
                             Store::Progress { job, value, .. } => {
                                 format!("progress of {job} {value}")
                             }
@@ -316,7 +328,7 @@
             stored(2, 40, json!({"cpus": 1.0})),
         ],
         progress: Vec::new(),
-        machines: vec![recorded("vm-000001", "a"), recorded("vm-000002", "a")],
+        roster: roster(vec![recorded("vm-000001", "a"), recorded("vm-000002", "a")]),
     };
     let mut p = Play::new(snapshot);
     p.note("elected with token 50; the recorded machines are asked what they hold");
