A cut zone's machines are not returned: their replicas serve until the lease ends

Cause: in a zone cut the leader returned 59 and 86 machines of the lost zone one by one as each became late; their replicas would have run until their leases ended, and the machines were missing afterwards. Ruled out: slow detection.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -387,16 +387,7 @@
                 continue;
             }
             let asked = machine.unanswered_at.is_some_and(|t| t >= at + expected);
-            // A leader that is cut off itself hears nobody after its question went
-            // unanswered. It once returned a dozen good machines, one by one as
-            // each became late, before it had lost enough of them to notice.
-            let heard_since = self
-                .machines
-                .iter()
-                .filter(|(_, o)| o.heard_at > machine.unanswered_at)
-                .count();
-            let others = self.machines.iter().count() - 1;
-            let asked = asked && heard_since >= others.clamp(1, 3);
+            let asked = asked && self.zone_is_heard(m, machine.unanswered_at);
             if asked && !network && self.now - at > latest + 0.1 {
                 tracing::warn!(
                     machine = machine.name,
@@ -410,6 +401,30 @@
         }
     }
 
+    /// Whether machines of the same zone were heard since. Where none is, the
+    /// network is cut, not the machine hung: its replicas serve on until their
+    /// lease runs out, and returning it would only end them sooner. A leader
+    /// that was cut off itself once returned a dozen good machines, one by one
+    /// as each became late; on a larger site one returned a whole zone.
+    fn zone_is_heard(&self, m: u32, since: Option<Time>) -> bool {
+        let heard_among = |zone: Option<u32>| {
+            let mut others = 0u32;
+            let mut heard = 0u32;
+            for (o, other) in self.machines.iter() {
+                let near = zone.is_none_or(|z| z == other.zone);
+                if o != m && near && other.session > other.dead_session {
+                    others += 1;
+                    heard += u32::from(other.heard_at > since);
+                }
+            }
+            (others > 0).then_some(heard >= (others / 4).clamp(1, 3))
+        };
+        // The only machine of its zone is judged by all others.
+        heard_among(Some(self.machines[m].zone))
+            .or_else(|| heard_among(None))
+            .unwrap_or(false)
+    }
+
     /// Most machines of a zone are silent: new ones there would be too.
     fn zone_is_dark(&self, zone: u32) -> bool {
         let (mut silent, mut all) = (0, 0);
