Replicas may stop gangs, and room is cleared for many tasks a batch

Cause: after a zone cut 110 replicas waited for a minute: GPU machines in the zones left were full of gangs, which were never stopped for anything, and a batch cleared room for 12 tasks at most (debug line demand, new). Ruled out: spread, renting.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -284,6 +284,7 @@
         if self.now >= self.next_second {
             self.next_second = self.now + 1.0;
             self.every_second();
+            self.log_demand();
         }
         self.flush_commands();
         self.flush_writes();
@@ -332,6 +333,24 @@
         }
     }
 
+    /// Where each class stands, for whoever looks for the cause of a delay.
+    fn log_demand(&self) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let mut classes: BTreeMap<&str, [u32; 4]> = BTreeMap::new();
+        for (_, job) in self.jobs.iter().filter(|(_, j)| j.state == JobState::Live) {
+            let [jobs, waiting, placed, running] = classes.entry(&job.spec.class).or_default();
+            *jobs += 1;
+            *waiting += job.waiting();
+            *placed += job.active - job.running.min(job.active);
+            *running += job.running;
+        }
+        for (class, [jobs, waiting, placed, running]) in classes {
+            tracing::debug!(class, jobs, waiting, placed, running, "demand");
+        }
+    }
+
     // ---- jobs ----
 
     fn learn_types(&mut self, types: Vec<MachineType>) {
@@ -713,9 +732,15 @@
     }
 
     pub(super) fn zone_allows(&self, ix: u32, zone: u32) -> bool {
+        self.zone_allows_more(ix, zone, 0)
+    }
+
+    /// The same with room for `planned` more tasks already spoken for.
+    pub(super) fn zone_allows_more(&self, ix: u32, zone: u32, planned: u32) -> bool {
         let job = &self.jobs[ix];
         let here = job.by_zone.get(zone as usize).copied().unwrap_or(0);
-        here < job.zone_cap() && (!job.spec.one_zone || job.by_zone.iter().sum::<u32>() == here)
+        here + planned < job.zone_cap()
+            && (!job.spec.one_zone || job.by_zone.iter().sum::<u32>() == here)
     }
 
     pub(super) fn team_allows(&self, team: u32, needs: &Amounts) -> bool {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -10,8 +10,11 @@
 use super::gangs::grace_to_save;
 use super::model::*;
 
-/// Machines one batch may clear for others.
-const MOST_PER_BATCH: u32 = 12;
+/// Tasks for which one batch may clear room, on a small site and for each
+/// machine of a large one: a zone that is lost leaves a third of all replicas
+/// without a place at once.
+const LEAST_PER_BATCH: u32 = 12;
+const PER_MACHINE: f64 = 0.1;
 /// How long room is kept that was freed by stops.
 const STOP_CLAIM_S: f64 = 8.0;
 /// How long a machine is kept free of new small tasks for a task that needs most of it.
@@ -40,12 +43,7 @@
     }
 
     pub(super) fn claimed(&self, ix: u32) -> u32 {
-        self.machines
-            .iter()
-            .flat_map(|(_, m)| m.claims.iter())
-            .filter(|c| c.job == ix)
-            .map(|c| c.count)
-            .sum()
+        self.claimed_by_zone(ix).iter().sum()
     }
 
     /// Free room less what is kept for other jobs.
@@ -119,7 +117,8 @@
     }
 
     pub(super) fn make_room(&mut self, order: &[u32]) {
-        let mut budget = MOST_PER_BATCH;
+        let machines = self.machines.iter().count() as f64;
+        let mut budget = LEAST_PER_BATCH.max((machines * PER_MACHINE) as u32);
         for &ix in order {
             let job = &self.jobs[ix];
             let mut missing = job
@@ -132,15 +131,12 @@
                 }
                 continue;
             }
-            while missing > 0 && budget > 0 {
-                if !self.team_allows(self.jobs[ix].team, &self.jobs[ix].spec.needs) {
-                    break;
-                }
-                if self.claim_by_stopping(ix) {
-                    budget -= 1;
-                } else if !self.claim_by_draining(ix) {
-                    break;
-                }
+            missing -= self.claim_by_stopping(ix, missing.min(budget), &mut budget);
+            while missing > 0
+                && budget > 0
+                && self.team_allows(self.jobs[ix].team, &self.jobs[ix].spec.needs)
+                && self.claim_by_draining(ix)
+            {
                 missing -= 1;
             }
         }
@@ -164,7 +160,7 @@
         }
         let mut choices: Vec<(f64, CopyKey)> = Vec::new();
         for (key, copy) in &self.machines[m].copies {
-            if !copy.possible() || self.is_whole_gang(key.job) {
+            if !copy.possible() {
                 continue;
             }
             if copy.stop.is_some() {
@@ -172,6 +168,15 @@
                 room.add(&self.jobs[key.job].spec.needs);
                 continue;
             }
+            if self.is_whole_gang(key.job) {
+                // A gang stops as a whole, which is much to lose: only for replicas,
+                // which are missed from the first second on.
+                if self.jobs[ix].is_service() && self.outranks(ix, key.job) {
+                    let tasks = f64::from(self.jobs[key.job].spec.tasks);
+                    choices.push((self.loss(key, copy) * tasks, *key));
+                }
+                continue;
+            }
             if self.outranks(ix, key.job) {
                 choices.push((self.loss(key, copy), *key));
             }
@@ -209,24 +214,59 @@
         (lost + 2.0) * size * self.weight(key.job)
     }
 
-    fn claim_by_stopping(&mut self, ix: u32) -> bool {
+    /// Has lower work stopped for up to `most` tasks of a job, where that costs
+    /// the least. Returns for how many. Each machine is looked at once, and again
+    /// only after something was stopped there.
+    fn claim_by_stopping(&mut self, ix: u32, most: u32, budget: &mut u32) -> u32 {
+        if most == 0 || !self.outranks_any(ix) {
+            return 0;
+        }
         let tier = self.best_tier(ix);
-        let best = self
+        let mut choices: Vec<(f64, u32, Vec<CopyKey>)> = self
             .machines
             .indices()
             .into_iter()
             .filter(|&m| self.claimable(ix, m) && self.in_tier(ix, m, tier))
-            .filter_map(|m| self.victims(ix, m).map(|(cost, v)| (m, cost, v)))
-            .filter(|(_, _, v)| !v.is_empty())
-            .map(|(m, cost, v)| {
-                // A dearer stop is worth it where the image is at hand.
-                let value = self.value(ix, m).max(1e-12);
-                (m, (cost + 1.0) / value, v)
-            })
-            .min_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
-        let Some((m, _, victims)) = best else {
-            return false;
+            .filter_map(|m| self.stops_for(ix, m).map(|(cost, v)| (cost, m, v)))
+            .collect();
+        // The best last.
+        let order = |a: &(f64, u32, Vec<CopyKey>), b: &(f64, u32, Vec<CopyKey>)| {
+            b.0.total_cmp(&a.0).then(b.1.cmp(&a.1))
         };
+        choices.sort_by(order);
+        let mut by_zone = self.claimed_by_zone(ix);
+        let mut claimed = 0;
+        while claimed < most
+            && let Some((_, m, victims)) = choices.pop()
+        {
+            let zone = self.machines[m].zone;
+            if !self.zone_allows_more(ix, zone, by_zone[zone as usize])
+                || !self.team_allows(self.jobs[ix].team, &self.jobs[ix].spec.needs)
+            {
+                continue;
+            }
+            self.stop_for(ix, m, &victims);
+            by_zone[zone as usize] += 1;
+            claimed += 1;
+            *budget -= 1;
+            if let Some((cost, victims)) = self.stops_for(ix, m) {
+                let again = (cost, m, victims);
+                let at = choices.partition_point(|c| order(c, &again).is_lt());
+                choices.insert(at, again);
+            }
+        }
+        claimed
+    }
+
+    /// What would have to be stopped on a machine for one task, if anything.
+    fn stops_for(&self, ix: u32, m: u32) -> Option<(f64, Vec<CopyKey>)> {
+        let (cost, victims) = self.victims(ix, m)?;
+        // A dearer stop is worth it where the image is at hand.
+        let value = self.value(ix, m).max(1e-12);
+        (!victims.is_empty()).then_some(((cost + 1.0) / value, victims))
+    }
+
+    fn stop_for(&mut self, ix: u32, m: u32, victims: &[CopyKey]) {
         let mut grace = 0.0f64;
         for key in victims {
             let spec = &self.jobs[key.job].spec;
@@ -242,10 +282,31 @@
                 machine = self.machines[m].name,
                 "preempting"
             );
-            self.stop_copy(m, key, g);
+            if self.is_whole_gang(key.job) {
+                self.stop_gang(key.job);
+            } else {
+                self.stop_copy(m, *key, g);
+            }
         }
         self.claim(m, ix, STOP_CLAIM_S + grace);
-        true
+    }
+
+    /// Room claimed for a job, by zone.
+    fn claimed_by_zone(&self, ix: u32) -> Vec<u32> {
+        let mut by_zone = vec![0; self.zones.len()];
+        for (_, m) in self.machines.iter() {
+            for c in m.claims.iter().filter(|c| c.job == ix) {
+                by_zone[m.zone as usize] += c.count;
+            }
+        }
+        by_zone
+    }
+
+    /// Whether any work at all may be stopped for a job.
+    fn outranks_any(&self, ix: u32) -> bool {
+        self.jobs
+            .iter()
+            .any(|(other, j)| j.active > 0 && self.outranks(ix, other))
     }
 
     /// Keeps a machine free of new work until a task fits that needs much of it.
