--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -26,6 +26,8 @@
 const LEASE_MARGIN_S: f64 = 0.3;
 /// How long a job's done bits may wait to be stored together.
 const PROGRESS_EVERY_S: f64 = 2.0;
+/// A task that has run for so long shows that its job is not mistaken.
+const RUNS_WELL_S: f64 = 10.0;
 /// Values in one transaction, under the 64 KiB that it may have.
 pub(super) const TXN_BYTES: usize = 40 * 1024;
 
@@ -278,12 +280,13 @@
         self.give_up_silent();
         if self.now >= self.next_batch {
             self.next_batch = self.now + WINDOW_S;
-            self.settled = self.settled || self.all_settled();
+            self.settle();
             self.run_batch();
         }
         if self.now >= self.next_second {
             self.next_second = self.now + 1.0;
             self.every_second();
+            self.move_replicas();
             self.log_demand();
         }
         self.flush_commands();
@@ -349,6 +352,30 @@
         for (class, [jobs, waiting, placed, running]) in classes {
             tracing::debug!(class, jobs, waiting, placed, running, "demand");
         }
+        let mut kinds: BTreeMap<(u32, u32, bool), [u32; 7]> = BTreeMap::new();
+        for (m, machine) in self.machines.iter() {
+            let place = (machine.kind, machine.zone, machine.spot);
+            let [all, usable, empty, gangs, replicas, kept, claimed] =
+                kinds.entry(place).or_default();
+            *all += 1;
+            *usable += u32::from(self.machine_usable(m));
+            *empty += u32::from(self.machine_usable(m) && machine.used == Amounts::default());
+            let holds = |test: fn(&Job) -> bool| {
+                let mut copies = machine.copies.iter().filter(|(_, c)| c.possible());
+                u32::from(copies.any(|(k, _)| test(&self.jobs[k.job])))
+            };
+            *gangs += holds(Job::is_gang);
+            *replicas += holds(Job::is_service);
+            *kept += u32::from(machine.kept_for.is_some());
+            *claimed += u32::from(!machine.claims.is_empty());
+        }
+        for ((kind, zone, spot), counts) in kinds {
+            let [all, usable, empty, gangs, replicas, kept, claimed] = counts;
+            let (kind, zone) = (self.types.names.name(kind), self.zones.name(zone));
+            tracing::debug!(
+                kind, zone, spot, all, usable, empty, gangs, replicas, kept, claimed, "supply"
+            );
+        }
     }
 
     // ---- jobs ----
@@ -413,11 +440,13 @@
             fresh: 0,
             retry: VecDeque::new(),
             old: stored.version < self.token,
+            blocked: stored.version < self.token && !self.settled,
             seen_at: self.now - stored.age_s,
             accepted_ms: stored.accepted_ms,
             unplaced_since: None,
             worthwhile_s: worthwhile_s(objectives, &spec),
             patience_s: patience_s(objectives, &spec),
+            start_by: start_by(objectives, &spec),
             shape: None,
             attempt: None,
             proved: false,
@@ -723,7 +752,7 @@
             && !t.done
             && t.copies == 0
             && f64::from(t.not_before) <= self.now
-            && (self.settled || !job.old)
+            && !job.blocked
             && self.machine_usable(m)
             && self.machine_allowed(ix, m)
             && job.spec.needs.fits_in(&self.free_room(m))
@@ -751,6 +780,12 @@
 
     /// Whether the job's own conditions allow the machine at all.
     pub(super) fn machine_allowed(&self, ix: u32, m: u32) -> bool {
+        let machine = &self.machines[m];
+        self.machine_suits(ix, m) && machine.failed.get(&ix).is_none_or(|&t| t <= self.now)
+    }
+
+    /// The same whatever has happened on it: where any leader may start the job.
+    fn machine_suits(&self, ix: u32, m: u32) -> bool {
         let job = &self.jobs[ix];
         let machine = &self.machines[m];
         (!machine.spot || job.spec.spot)
@@ -759,7 +794,6 @@
                 .types
                 .as_ref()
                 .is_none_or(|list| list.contains(&machine.kind))
-            && machine.failed.get(&ix).is_none_or(|&t| t <= self.now)
     }
 
     /// How long a machine may be silent before nothing new is sent to it.
@@ -1163,10 +1197,14 @@
         if is_running && !was_running {
             copy.running_since = Some(now);
         }
+        let runs_well = is_running && copy.running_since.is_some_and(|t| now - t > RUNS_WELL_S);
         let still_possible = copy.possible();
         let over = matches!(self.jobs[key.job].state, JobState::Over(_));
         let stopping = copy.stop.is_some();
         let job = &mut self.jobs[key.job];
+        // A replica never ends, so running is all it can prove. A service that failed
+        // on one sick machine once waited for ever with its other replicas running.
+        job.proved |= runs_well;
         job.running = job.running + u32::from(is_running) - u32::from(was_running);
         if phase != TaskPhase::Fetching && !exits {
             self.has_image(m, key.job);
@@ -1451,23 +1489,61 @@
             let machine = &mut self.machines[m];
             machine.dead_session = session;
             machine.synced = false;
+            // It holds nothing, so the next leader need not wait for its answer. Spot
+            // machines that had been taken once held every failover up for a lease.
+            self.strike(m);
         }
     }
 
-    fn all_settled(&self) -> bool {
-        if self.unknown_machines && self.now <= self.elected_at + self.lease_surely_s() {
-            return false;
-        }
-        self.machines.iter().all(|(_, m)| {
-            !m.was_recorded
-                || m.synced
-                || (m.session > 0 && m.session <= m.dead_session)
-                || self.now > self.lease_over_at(m)
-        })
+    /// Machines that an earlier leader may have given tasks to and that have not
+    /// told this one what they hold.
+    fn unheard(&self) -> Vec<u32> {
+        self.machines
+            .iter()
+            .filter(|(_, m)| {
+                m.was_recorded
+                    && !m.synced
+                    && !(m.session > 0 && m.session <= m.dead_session)
+                    && self.now <= self.lease_over_at(m)
+            })
+            .map(|(ix, _)| ix)
+            .collect()
     }
 
-    pub(super) fn is_settled(&self) -> bool {
-        self.settled
+    /// Holds back the jobs of which a silent machine may hold something: those
+    /// stored before the election that an earlier leader could have put there.
+    /// Once one taken spot machine held back every service for a whole lease.
+    fn settle(&mut self) {
+        if self.settled {
+            return;
+        }
+        let unheard = self.unheard();
+        let unknown = self.unknown_machines && self.now <= self.elected_at + self.lease_surely_s();
+        let was = self.jobs.iter().filter(|(_, j)| j.blocked).count();
+        for ix in self.jobs.indices() {
+            let job = &self.jobs[ix];
+            let most = &self.teams[job.team as usize].most;
+            // What else runs of a limited team must be known in full.
+            let limited = most.cpus > 0 || most.gpus > 0;
+            let blocked = job.old
+                && (unknown
+                    || (limited && !unheard.is_empty())
+                    || unheard.iter().any(|&m| self.machine_suits(ix, m)));
+            self.jobs[ix].blocked = blocked;
+        }
+        let blocked = self.jobs.iter().filter(|(_, j)| j.blocked).count();
+        self.settled = unheard.is_empty() && !unknown;
+        if blocked > 0 {
+            self.give_up_unheard(&unheard);
+        }
+        if was != blocked || self.settled {
+            tracing::info!(
+                after_s = self.now - self.elected_at,
+                unheard = unheard.len(),
+                blocked,
+                "jobs held back for silent machines"
+            );
+        }
     }
 
     // ---- writes ----
@@ -1624,12 +1700,24 @@
         .unwrap_or(3600.0)
 }
 
-/// Seconds of delay at the start that cost a job most of its value.
-fn patience_s(objectives: &[Objective], spec: &JobSpec) -> f64 {
+/// How long after its submission a job must have started, by each aim.
+fn start_by(objectives: &[Objective], spec: &JobSpec) -> Vec<f64> {
+    let mut all: Vec<f64> = waits(objectives, spec).collect();
+    all.sort_by(f64::total_cmp);
+    if all.is_empty() {
+        all.push(patience_s(objectives, spec));
+    }
+    all
+}
+
+fn waits(objectives: &[Objective], spec: &JobSpec) -> impl Iterator<Item = f64> {
     objectives
         .iter()
         .filter(|o| o.kind == "wait" && o.class.as_deref() == Some(&spec.class))
         .filter_map(|o| o.within_s)
-        .fold(120.0, f64::min)
-        .max(0.5)
+}
+
+/// Seconds of delay at the start that cost a job most of its value.
+fn patience_s(objectives: &[Objective], spec: &JobSpec) -> f64 {
+    waits(objectives, spec).fold(120.0, f64::min).max(0.5)
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -157,8 +157,8 @@
             };
             tracing::info!(machine = name, "returned: it and all on it are gone");
             self.clear_machine(m);
-            let machine = self.machines.remove(m).expect("was indexed");
-            self.strike(m, machine.page);
+            self.strike(m);
+            self.machines.remove(m);
         }
     }
 
@@ -401,6 +401,28 @@
         }
     }
 
+    /// A few recorded machines have not answered a new leader while their zones
+    /// have: most are spot machines that were taken. Returning them proves that
+    /// nothing is there, and what they hold back starts seconds earlier.
+    pub(super) fn give_up_unheard(&mut self, unheard: &[u32]) {
+        let patience = self.config.cluster.workers.report_s * 1.25 + 0.5;
+        let few = 1 + self.machines.iter().count() / 20;
+        if unheard.len() > few || self.now - self.elected_at < patience {
+            return;
+        }
+        let since = Some(self.elected_at + 0.5);
+        for &m in unheard {
+            if !self.machines[m].returning && self.zone_is_heard(m, since) {
+                tracing::warn!(
+                    machine = self.machines[m].name,
+                    "never heard by this leader: returned"
+                );
+                self.machines[m].returning = true;
+            }
+        }
+        self.send_returns();
+    }
+
     /// Whether machines of the same zone were heard since. Where none is, the
     /// network is cut, not the machine hung: its replicas serve on until their
     /// lease runs out, and returning it would only end them sooner. A leader
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -61,7 +61,7 @@
         Some(at as u32)
     }
 
-    fn suits_shape(&self, shape: &Shape, m: u32) -> bool {
+    pub(super) fn suits_shape(&self, shape: &Shape, m: u32) -> bool {
         let machine = &self.machines[m];
         shape
             .types
--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -1,8 +1,11 @@
 //! Gangs: one attempt starts whole, is stopped whole, and restarts whole.
 
-use super::core::Core;
+use super::core::{Core, WINDOW_S};
 use super::model::*;
 
+/// A claim of a gang that gathers lasts until the batch after next.
+const GATHER_CLAIM_S: f64 = 2.5 * WINDOW_S;
+
 /// A grace that surely covers the time a task says it needs to save.
 pub(super) fn grace_to_save(save_s: f64) -> f64 {
     save_s * 1.5 + 1.0
@@ -104,6 +107,74 @@
         best.map(|(_, places)| places)
     }
 
+    /// Lets late gangs gather machines, one gang a zone. Without that, smaller
+    /// gangs took every machine as it came free, and one that needs several at
+    /// once waited for minutes. Before it is late a gang does better to wait for
+    /// another to end, which frees several at once. Only machines that are free
+    /// are held, for one batch at a time, and nobody holds any in two zones, so
+    /// no two gangs can wait for each other.
+    pub(super) fn gather_for_gangs(&mut self, order: &[u32]) {
+        let mut held_by_zone = vec![false; self.zones.len()];
+        for &ix in order {
+            if held_by_zone.iter().all(|&h| h) {
+                return;
+            }
+            if !self.is_whole_gang(ix)
+                || self.jobs[ix].active > 0
+                || self.jobs[ix].waiting() == 0
+                || !self.is_rescued(ix)
+            {
+                continue;
+            }
+            let own = self.claimed_by_zone(ix);
+            let best = (0..self.zones.len())
+                .filter(|&z| !held_by_zone[z])
+                .filter_map(|z| {
+                    let ready = self.gathered_in(ix, z as u32)?;
+                    // It stays where it has begun.
+                    Some((own[z] == 0, ready, z))
+                })
+                .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let Some((_, _, zone)) = best else { continue };
+            held_by_zone[zone] = true;
+            let needs = self.jobs[ix].spec.needs;
+            let mut left = self.jobs[ix].spec.tasks.saturating_sub(own[zone]);
+            for m in self.machines.indices() {
+                if self.machines[m].zone as usize != zone {
+                    continue;
+                }
+                if self.machines[m].claims.iter().any(|c| c.job == ix) {
+                    self.renew_claim(m, ix, GATHER_CLAIM_S);
+                } else if left > 0
+                    && self.claimable(ix, m)
+                    && needs.fits_in(&self.room_after_claims(m, ix))
+                {
+                    self.claim(m, ix, GATHER_CLAIM_S);
+                    left -= 1;
+                }
+            }
+        }
+    }
+
+    /// Seconds until a zone has room for all tasks of a gang, as far as estimates tell.
+    fn gathered_in(&self, ix: u32, zone: u32) -> Option<f64> {
+        let job = &self.jobs[ix];
+        let mut times: Vec<f64> = self
+            .machines
+            .indices()
+            .into_iter()
+            .filter(|&m| self.machines[m].zone == zone && self.claimable(ix, m))
+            .filter(|&m| self.machines[m].claims.iter().all(|c| c.job == ix))
+            .filter_map(|m| self.drained_in(&job.spec.needs, m))
+            .collect();
+        let at = job.spec.tasks as usize - 1;
+        if times.len() <= at {
+            return None;
+        }
+        let (_, time, _) = times.select_nth_unstable_by(at, f64::total_cmp);
+        Some(*time)
+    }
+
     fn team_allows_all(&self, ix: u32) -> bool {
         let job = &self.jobs[ix];
         let mut all = job.spec.needs;
@@ -128,6 +199,12 @@
             self.start(ix, task, m, attempt);
         }
         let job = &mut self.jobs[ix];
+        tracing::debug!(
+            job = %job.spec.id,
+            tasks = job.spec.tasks,
+            waited_s = self.now - job.seen_at,
+            "gang placed"
+        );
         job.fresh = job.spec.tasks;
         job.retry.clear();
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 mod forecast;
 mod gangs;
 pub mod model;
+mod moves;
 mod placement;
 mod preemption;
 mod roster;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -91,6 +91,8 @@
     pub retry: VecDeque<u32>,
     /// Stored before this leader was elected: an earlier one may have started it.
     pub old: bool,
+    /// A machine that has not been heard since may hold something of it.
+    pub blocked: bool,
     pub seen_at: Time,
     pub accepted_ms: u64,
     /// When it last failed to get all the room it wants.
@@ -99,6 +101,8 @@
     /// submission finishing it is worth most, and what delay at the start is.
     pub worthwhile_s: f64,
     pub patience_s: f64,
+    /// How long after its submission it must have started for each aim, ascending.
+    pub start_by: Vec<f64>,
     /// Of a task that takes most of a machine.
     pub shape: Option<u32>,
     /// Of a gang: the current attempt, if any copy of it may exist.
--- /dev/null
+++ b/src/coordination/moves.rs
@@ -0,0 +1,164 @@
+//! Moving replicas off machines that whole-machine tasks wait for.
+//!
+//! A replica stays where it started. Some start on the largest machines, in
+//! the first seconds of a site or after a zone was lost, when there is no other
+//! room; later a third of those machines were found held by a replica or two
+//! each while whole-machine tasks waited in line. A replica is moved only to a
+//! place that is claimed for it, so it is away for about a second, or for as
+//! long as its image takes.
+
+use super::core::Core;
+use super::model::*;
+
+/// A start counts as one only if the task is left alone for half a minute.
+const SETTLED_S: f64 = 35.0;
+/// Machines freed in a second: on a small site, and for each machine of a large one.
+const LEAST_A_SECOND: usize = 1;
+const PER_MACHINE: f64 = 0.005;
+
+struct Move {
+    key: CopyKey,
+    to: u32,
+    victims: Vec<CopyKey>,
+}
+
+impl Core {
+    /// Once a second: frees machines for the whole-machine tasks that wait.
+    pub(super) fn move_replicas(&mut self) {
+        let machines = self.machines.iter().count() as f64;
+        let mut budget = LEAST_A_SECOND.max((machines * PER_MACHINE) as usize);
+        for s in 0..self.shapes.len() as u32 {
+            let mut wanted = self.missing_machines(s);
+            if wanted == 0 {
+                continue;
+            }
+            let mut held: Vec<(usize, u32)> = self
+                .machines
+                .indices()
+                .into_iter()
+                .filter_map(|m| Some((self.replicas_in_the_way(s, m)?.len(), m)))
+                .collect();
+            held.sort_unstable();
+            for (_, m) in held {
+                if wanted == 0 || budget == 0 {
+                    break;
+                }
+                if self.free_of_replicas(s, m) {
+                    wanted -= 1;
+                    budget -= 1;
+                }
+            }
+        }
+    }
+
+    /// How many more machines the tasks that wait could take at once.
+    fn missing_machines(&self, s: u32) -> usize {
+        let waiting: usize = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.shape == Some(s) && j.state == JobState::Live)
+            .filter(|(_, j)| j.unplaced_since.is_some_and(|t| self.now - t > 1.0))
+            .map(|(_, j)| j.waiting() as usize)
+            .sum();
+        let coming = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.kept_for == Some(s))
+            .count();
+        waiting.saturating_sub(coming)
+    }
+
+    /// The replicas that keep tasks of a shape off a machine, if nothing else
+    /// does for good and all of them may be moved.
+    fn replicas_in_the_way(&self, s: u32, m: u32) -> Option<Vec<CopyKey>> {
+        let shape = &self.shapes[s as usize];
+        let machine = &self.machines[m];
+        if !self.machine_usable(m)
+            || !self.suits_shape(shape, m)
+            || !machine.claims.is_empty()
+            || machine.kept_for.is_some()
+        {
+            return None;
+        }
+        let mut room = self.types.get(machine.kind)?.whole;
+        let mut replicas = Vec::new();
+        for (key, copy) in machine.copies.iter().filter(|(_, c)| c.possible()) {
+            let job = &self.jobs[key.job];
+            if job.is_service() {
+                room.sub(&job.spec.needs);
+                replicas.push((*key, copy));
+            }
+        }
+        let mut in_the_way = Vec::new();
+        for (key, copy) in replicas {
+            if shape.needs.fits_in(&room) {
+                break;
+            }
+            let settled = copy.running_since.is_some_and(|t| self.now - t > SETTLED_S);
+            if copy.stop.is_some() || !settled {
+                return None;
+            }
+            room.add(&self.jobs[key.job].spec.needs);
+            in_the_way.push(key);
+        }
+        (!in_the_way.is_empty() && shape.needs.fits_in(&room)).then_some(in_the_way)
+    }
+
+    /// Moves all replicas in the way, or none.
+    fn free_of_replicas(&mut self, s: u32, m: u32) -> bool {
+        let Some(keys) = self.replicas_in_the_way(s, m) else {
+            return false;
+        };
+        let mut moves: Vec<Move> = Vec::new();
+        for key in keys {
+            let taken = |to: u32| moves.iter().any(|o| o.to == to);
+            let Some((to, victims)) = self.better_place(key, m, taken) else {
+                return false;
+            };
+            moves.push(Move { key, to, victims });
+        }
+        for Move { key, to, victims } in moves {
+            tracing::info!(
+                job = %self.jobs[key.job].spec.id,
+                from = self.machines[m].name,
+                to = self.machines[to].name,
+                "replica moves off a whole machine"
+            );
+            self.stop_for(key.job, to, &victims);
+            self.stop_copy(m, key, 0.0);
+        }
+        self.machines[m].kept_for = Some(s);
+        true
+    }
+
+    /// The cheapest machine that could serve the replica as well, preferably one
+    /// that has its image.
+    fn better_place(
+        &self,
+        key: CopyKey,
+        from: u32,
+        taken: impl Fn(u32) -> bool,
+    ) -> Option<(u32, Vec<CopyKey>)> {
+        let ix = key.job;
+        let zone = self.machines[from].zone;
+        self.machines
+            .indices()
+            .into_iter()
+            .filter(|&m| m != from && !taken(m) && self.machines[m].claims.is_empty())
+            .filter(|&m| self.machine_usable(m) && self.machine_allowed(ix, m))
+            // In its own zone it takes its own place.
+            .filter(|&m| {
+                self.machines[m].zone == zone || self.zone_allows(ix, self.machines[m].zone)
+            })
+            .filter(|&m| !self.breaks_whole(ix, m))
+            .filter_map(|m| self.victims(ix, m).map(|(cost, v)| (cost, m, v)))
+            .filter(|(_, _, v)| !v.iter().any(|k| self.jobs[k.job].is_gang()))
+            .map(|(cost, m, v)| (self.fetch_s(ix, m), cost, m, v))
+            .min_by(|a, b| {
+                a.0.total_cmp(&b.0)
+                    .then(a.1.total_cmp(&b.1))
+                    .then(a.2.cmp(&b.2))
+            })
+            .map(|(_, _, m, victims)| (m, victims))
+    }
+}
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -10,6 +10,11 @@
 const GATE_STEEPNESS: f64 = 25.0;
 /// Who must start within this does not wait for a fetch if that can be helped.
 const IMPATIENT_S: f64 = 5.0;
+/// So long before its next aim a late job goes before all others: about what
+/// it takes to gather machines for it.
+const RESCUE_S: f64 = 45.0;
+/// The urgency of such a job.
+const RESCUED: f64 = 2.3;
 /// Tasks of one job in one batch; the rest wait for the next window.
 const MOST_PER_JOB: u32 = 256;
 
@@ -31,6 +36,7 @@
                 self.start_gang(ix, &places);
             }
         }
+        self.gather_for_gangs(&order);
         self.run_market(&order);
         for &ix in &order {
             self.place_leftovers(ix);
@@ -59,10 +65,7 @@
             .jobs
             .iter()
             .filter(|(_, j)| {
-                j.state == JobState::Live
-                    && j.waiting() > 0
-                    && j.retry_at <= self.now
-                    && (self.is_settled() || !j.old)
+                j.state == JobState::Live && j.waiting() > 0 && j.retry_at <= self.now && !j.blocked
             })
             .map(|(ix, _)| ix)
             .collect();
@@ -98,26 +101,30 @@
         rank * entitled * urgency
     }
 
-    /// A job that can still start in time goes before one that no longer can,
-    /// and that before one that cannot finish in time either. Nothing is passed
-    /// over for ever.
+    /// A job that can still start within its first aim goes first, small before
+    /// large, so that as many as possible do. One that cannot waits until its next
+    /// aim is near, and then goes before all. Nothing is passed over for ever.
     fn start_urgency(&self, ix: u32, waited: f64) -> f64 {
         let job = &self.jobs[ix];
         if job.is_service() {
             return 2.0;
         }
-        let patience = self.jobs[ix].patience_s;
-        if waited > 6.0 * patience {
-            2.5
-        } else if waited <= patience {
-            2.0
-        } else if waited + job.work_s() <= self.jobs[ix].worthwhile_s {
-            1.6
-        } else {
-            1.3
+        let next = job.start_by.iter().position(|&by| waited <= by);
+        match next {
+            Some(0) => 2.0 + 0.2 / f64::from(job.spec.tasks),
+            Some(next) if job.start_by[next] - waited < RESCUE_S => RESCUED,
+            None if waited > 6.0 * job.patience_s => RESCUED,
+            _ if waited + job.work_s() <= job.worthwhile_s => 1.6,
+            _ => 1.3,
         }
     }
 
+    /// Whether a late job goes before all others of its priority now.
+    pub(super) fn is_rescued(&self, ix: u32) -> bool {
+        let waited = self.now - self.jobs[ix].seen_at;
+        self.start_urgency(ix, waited) >= RESCUED
+    }
+
     fn mark_entitled(&mut self) {
         let limited = self
             .teams
@@ -224,7 +231,7 @@
     }
 
     /// Expected time until the machine has the job's image.
-    fn fetch_s(&self, ix: u32, m: u32) -> f64 {
+    pub(super) fn fetch_s(&self, ix: u32, m: u32) -> f64 {
         let job = &self.jobs[ix];
         let machine = &self.machines[m];
         if machine.images.contains(&job.image) {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -82,8 +82,9 @@
         }
     }
 
-    /// Room that is kept for a whole-machine task goes to the most urgent one of
-    /// its shape, whoever asked for it first.
+    /// Room that is kept for a whole-machine task goes to the most urgent single
+    /// task of its shape, whoever asked for it first. A gang that gathers gives
+    /// way only to what comes before it.
     fn hand_claims_on(&mut self, order: &[u32]) {
         for m in self.machines.indices() {
             for c in 0..self.machines[m].claims.len() {
@@ -91,10 +92,18 @@
                 let Some(shape) = self.jobs[holder].shape else {
                     continue;
                 };
-                let best = order.iter().copied().find(|&ix| {
-                    let job = &self.jobs[ix];
-                    job.shape == Some(shape) && job.waiting() > 0 && self.machine_allowed(ix, m)
-                });
+                let gang = self.is_whole_gang(holder);
+                let best = order
+                    .iter()
+                    .copied()
+                    .take_while(|&ix| !gang || ix != holder)
+                    .find(|&ix| {
+                        let job = &self.jobs[ix];
+                        job.shape == Some(shape)
+                            && !self.is_whole_gang(ix)
+                            && job.waiting() > 0
+                            && self.machine_allowed(ix, m)
+                    });
                 let taken = |ix: u32| self.machines[m].claims.iter().any(|c| c.job == ix);
                 if let Some(best) = best
                     && best != holder
@@ -266,7 +275,7 @@
         (!victims.is_empty()).then_some(((cost + 1.0) / value, victims))
     }
 
-    fn stop_for(&mut self, ix: u32, m: u32, victims: &[CopyKey]) {
+    pub(super) fn stop_for(&mut self, ix: u32, m: u32, victims: &[CopyKey]) {
         let mut grace = 0.0f64;
         for key in victims {
             let spec = &self.jobs[key.job].spec;
@@ -292,7 +301,7 @@
     }
 
     /// Room claimed for a job, by zone.
-    fn claimed_by_zone(&self, ix: u32) -> Vec<u32> {
+    pub(super) fn claimed_by_zone(&self, ix: u32) -> Vec<u32> {
         let mut by_zone = vec![0; self.zones.len()];
         for (_, m) in self.machines.iter() {
             for c in m.claims.iter().filter(|c| c.job == ix) {
@@ -357,7 +366,14 @@
         needs.fits_in(&room).then_some(at)
     }
 
-    fn claim(&mut self, m: u32, ix: u32, for_s: f64) {
+    pub(super) fn renew_claim(&mut self, m: u32, ix: u32, for_s: f64) {
+        let until = self.now + for_s;
+        for c in self.machines[m].claims.iter_mut().filter(|c| c.job == ix) {
+            c.until = c.until.max(until);
+        }
+    }
+
+    pub(super) fn claim(&mut self, m: u32, ix: u32, for_s: f64) {
         let until = self.now + for_s;
         let claims = &mut self.machines[m].claims;
         match claims.iter_mut().find(|c| c.job == ix) {
@@ -393,8 +409,13 @@
                 .indices()
                 .into_iter()
                 .filter(|&m| zone.is_none_or(|z| self.machines[m].zone == z))
-                .filter(|&m| self.claimable(ix, m) && self.machines[m].claims.is_empty())
-                .filter_map(|m| self.victims(ix, m).map(|(cost, v)| (cost, m, v)))
+                .filter(|&m| self.claimable(ix, m))
+                .filter_map(|m| match self.machines[m].claims.as_slice() {
+                    [] => self.victims(ix, m).map(|(cost, v)| (cost, m, v)),
+                    // Gathered already.
+                    [own] if own.job == ix => Some((0.0, m, Vec::new())),
+                    _ => None,
+                })
                 .collect();
             machines.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             if machines.len() < tasks {
@@ -413,7 +434,11 @@
             for key in victims {
                 self.stop_copy(m, key, 0.0);
             }
-            self.claim(m, ix, STOP_CLAIM_S);
+            if self.machines[m].claims.is_empty() {
+                self.claim(m, ix, STOP_CLAIM_S);
+            } else {
+                self.renew_claim(m, ix, STOP_CLAIM_S);
+            }
         }
         true
     }
--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -17,10 +17,10 @@
 /// Room in a stored page for one machine with its images.
 const BYTES_PER_MACHINE: usize = 512;
 const MOST_PER_PAGE: usize = 32;
-/// Images are a hint and returned machines only cost the next leader a
-/// question: neither is written at once.
+/// Images are a hint and dead machines only cost the next leader a question:
+/// neither is written at once.
 const HINT_EVERY_S: Time = 10.0;
-const STRIKE_AFTER_S: Time = 2.0;
+const STRIKE_AFTER_S: Time = 1.0;
 
 #[derive(Debug, Default)]
 struct Page {
@@ -111,9 +111,10 @@
         self.machines[m].page = Some(ix);
     }
 
-    /// A machine that was returned.
-    pub(super) fn strike(&mut self, m: u32, page: Option<u32>) {
-        if let Some(ix) = page {
+    /// A machine that surely holds nothing, and gets nothing until it is heard again.
+    pub(super) fn strike(&mut self, m: u32) {
+        self.machines[m].recorded = false;
+        if let Some(ix) = self.machines[m].page.take() {
             let at = self.now + STRIKE_AFTER_S;
             let page = self.roster.page(ix);
             page.machines.retain(|&o| o != m);
@@ -189,7 +190,10 @@
             Written::Stored { version } => {
                 page.version = *version;
                 for name in value.as_object().into_iter().flat_map(|o| o.keys()) {
-                    if let Some(&m) = self.machine_ids.get(name) {
+                    if let Some(&m) = self.machine_ids.get(name)
+                        // Not if it was struck while the page was being written.
+                        && self.machines[m].page == Some(ix)
+                    {
                         self.machines[m].recorded = true;
                     }
                 }
