A gathering gang takes over the claims of lighter work; tests of what was found

Cause: singles that wait claim machines until they drain, so a late gang found none to gather (seen in a test of its own, tests/behaviours.rs).

--- /dev/null
+++ b/benches/core.rs
@@ -0,0 +1,97 @@
+//! Processor time of the leader's core on a site of 1,000 machines where more
+//! is wanted than there is: reports, batches and writes together. The workers
+//! obey at once; what is measured is the core alone, without HTTP.
+
+#[path = "../standins/mod.rs"]
+mod standins;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use standins::crew::Crew;
+
+const TYPES: &str = r#"{"flavors":[
+ {"name":"small","cpus":8,"memory_gb":64,"local_gb":50,"pull_gb_per_s":0.3,"price":0.4,"ready_s":15,"regions":["a","b","c"]},
+ {"name":"mid","cpus":16,"gpus":2,"memory_gb":64,"local_gb":100,"pull_gb_per_s":0.3,"price":4.0,"ready_s":30,"regions":["a","b","c"]},
+ {"name":"big","cpus":48,"gpus":8,"memory_gb":256,"local_gb":100,"pull_gb_per_s":0.4,"price":28.0,"ready_s":30,"regions":["a","b","c"]}]}"#;
+const MACHINES: usize = 1000;
+const SECONDS: u32 = 90;
+
+fn job(shape: &str, id: u32, rng: &mut StdRng) -> Value {
+    let mut body = match shape {
+        "service" => json!({"rank": "production", "shards": ([2, 6, 16][rng.random_range(0..3)]),
+            "cpus": 4.0, "memory_gb": 20.0, "spread": true, "runtime_s": 0.0}),
+        "group" => json!({"rank": "urgent", "shards": (1 << rng.random_range(0..4)), "cpus": 40.0,
+            "gpus": 8.0, "memory_gb": 200.0, "one_zone": true, "runtime_s": 80.0,
+            "snapshot_every_s": 30.0, "snapshot_s": 2.0, "flavors": ["big"]}),
+        _ => json!({"shards": (rng.random_range(50..1500)), "memory_gb": 4.0, "runtime_s": 30.0}),
+    };
+    body["uid"] = json!(format!("wk-{id:06}"));
+    body["shape"] = json!(shape);
+    body["jobclass"] = json!(shape);
+    body["bundle"] = json!(format!("{shape}-{}", rng.random_range(0..12)));
+    body
+}
+
+fn main() {
+    let cluster = json!({"zones": ["a", "b", "c"], "teams": [{"name": "team"}],
+        "objectives": [{"kind": "wait", "class": "service", "within_s": 1.0},
+            {"kind": "wait", "class": "group", "within_s": 35.0}],
+        "workers": {"report_s": 3.0, "lease_s": 15.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0, "cancel_s": 45.0},
+        "state": {"rps": 200, "write_rps": 50, "value_kb": 16, "txn_ops": 16}, "cloud": {"rps": 5},
+        "limits": {"max_sockets": 2000}});
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut crew = Crew::new(TYPES, cluster, 99);
+    for i in 0..MACHINES {
+        let flavor = match i % 10 {
+            0 => "big",
+            1..=4 => "mid",
+            _ => "small",
+        };
+        let zone = ["a", "b", "c"][i % 3];
+        crew.add(
+            &format!("vm-{i:06}"),
+            flavor,
+            zone,
+            rng.random_range(0.0..3.0),
+        );
+    }
+    let mut id = 0;
+    let mut submit = |crew: &mut Crew, shape: &str, rng: &mut StdRng| {
+        id += 1;
+        crew.submit(&job(shape, id, rng));
+    };
+    for _ in 0..100 {
+        submit(&mut crew, "service", &mut rng);
+    }
+    let mut worst_second = 0.0f64;
+    for _ in 0..SECONDS {
+        for (shape, per_s) in [("service", 0.1), ("group", 0.4), ("sweep", 0.8)] {
+            if rng.random_bool(per_s) {
+                submit(&mut crew, shape, &mut rng);
+            }
+        }
+        let before = crew.steps.len();
+        crew.run(1.0);
+        worst_second = worst_second.max(crew.steps[before..].iter().sum());
+    }
+    let mut times = hdrhistogram::Histogram::<u64>::new(3).expect("valid precision");
+    for step in &crew.steps {
+        times.record((step * 1e6) as u64).expect("within bounds");
+    }
+    let total: f64 = crew.steps.iter().sum();
+    println!(
+        "{MACHINES} machines, {SECONDS} s: {} starts, {} changes, {} steps",
+        crew.starts,
+        crew.changes,
+        times.len()
+    );
+    println!(
+        "core: {:.1} ms of processor time a second, worst second {:.0} ms; a step p50 {} us, p99 {} us, max {} us",
+        total / f64::from(SECONDS) * 1e3,
+        worst_second * 1e3,
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        times.max()
+    );
+}
--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -130,49 +130,49 @@
             let best = (0..self.zones.len())
                 .filter(|&z| !held_by_zone[z])
                 .filter_map(|z| {
-                    let ready = self.gathered_in(ix, z as u32)?;
+                    let machines = self.soonest_for(ix, z as u32)?;
+                    let ready = machines.last().map_or(0.0, |m| m.0);
                     // It stays where it has begun.
-                    Some((own[z] == 0, ready, z))
+                    Some((own[z] == 0, ready, z, machines))
                 })
                 .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            let Some((_, _, zone)) = best else { continue };
+            let Some((_, _, zone, machines)) = best else {
+                continue;
+            };
             held_by_zone[zone] = true;
             let needs = self.jobs[ix].spec.needs;
-            let mut left = self.jobs[ix].spec.tasks.saturating_sub(own[zone]);
-            for m in self.machines.indices() {
-                if self.machines[m].zone as usize != zone {
-                    continue;
-                }
-                if self.machines[m].claims.iter().any(|c| c.job == ix) {
+            for (_, m) in machines {
+                self.machines[m].claims.retain(|c| c.job == ix);
+                if !self.machines[m].claims.is_empty() {
                     self.renew_claim(m, ix, GATHER_CLAIM_S);
-                } else if left > 0
-                    && self.claimable(ix, m)
-                    && needs.fits_in(&self.room_after_claims(m, ix))
-                {
+                } else if needs.fits_in(&self.room_after_claims(m, ix)) {
                     self.claim(m, ix, GATHER_CLAIM_S);
-                    left -= 1;
                 }
             }
         }
     }
 
-    /// Seconds until a zone has room for all tasks of a gang, as far as estimates tell.
-    fn gathered_in(&self, ix: u32, zone: u32) -> Option<f64> {
+    /// The machines of a zone that have room for all tasks of a gang soonest, as
+    /// far as estimates tell, and in how many seconds.
+    fn soonest_for(&self, ix: u32, zone: u32) -> Option<Vec<(f64, u32)>> {
         let job = &self.jobs[ix];
-        let mut times: Vec<f64> = self
+        let weight = self.weight(ix);
+        // Room kept for lighter work of the same shape is taken over.
+        let yields = |c: &Claim| {
+            c.job == ix || (self.jobs[c.job].shape == job.shape && self.weight(c.job) < weight)
+        };
+        let mut machines: Vec<(f64, u32)> = self
             .machines
             .indices()
             .into_iter()
             .filter(|&m| self.machines[m].zone == zone && self.claimable(ix, m))
-            .filter(|&m| self.machines[m].claims.iter().all(|c| c.job == ix))
-            .filter_map(|m| self.drained_in(&job.spec.needs, m))
+            .filter(|&m| self.machines[m].claims.iter().all(yields))
+            .filter_map(|m| Some((self.drained_in(&job.spec.needs, m)?, m)))
             .collect();
-        let at = job.spec.tasks as usize - 1;
-        if times.len() <= at {
-            return None;
-        }
-        let (_, time, _) = times.select_nth_unstable_by(at, f64::total_cmp);
-        Some(*time)
+        machines.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let tasks = job.spec.tasks as usize;
+        machines.truncate(tasks);
+        (machines.len() == tasks).then_some(machines)
     }
 
     fn team_allows_all(&self, ix: u32) -> bool {
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -27,6 +27,7 @@
         if order.is_empty() {
             return;
         }
+        self.gather_for_gangs(&order);
         self.serve_claims(&order);
         for &ix in &order {
             if self.is_whole_gang(ix)
@@ -36,7 +37,6 @@
                 self.start_gang(ix, &places);
             }
         }
-        self.gather_for_gangs(&order);
         self.run_market(&order);
         for &ix in &order {
             self.place_leftovers(ix);
--- /dev/null
+++ b/standins/crew.rs
@@ -0,0 +1,414 @@
+//! Workers that obey at once, and a state service and cloud that take
+//! everything: they drive the core alone, without a network or a process.
+//!
+//! Single workers can be told to fall silent or to fail every task. A task that
+//! starts while another copy of it is on a machine ends the run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use copperfield::bookkeeping::writer::{Write, Written};
+use copperfield::bookkeeping::{RosterPage, Snapshot, StoredJob};
+use copperfield::coordination::core::{Config, Core, DirectOutcome, Effect, Input, RentOutcome};
+use copperfield::protocol::cloud::parse_types;
+use copperfield::protocol::job::{JobSpec, Kind};
+use copperfield::protocol::worker::{Command, Exit, Report, TaskPhase, TaskReport, Verb};
+use copperfield::protocol::{JobId, parse_task};
+use copperfield::settings::{Cluster, Tuning};
+use serde_json::{Value, json};
+
+const TICK_S: f64 = 0.01;
+pub const FETCH_S: f64 = 2.0;
+
+struct Worker {
+    flavor: &'static str,
+    zone: &'static str,
+    session: u64,
+    counter: u64,
+    token: u64,
+    next_report: f64,
+    reported_at: f64,
+    answered_at: f64,
+    images: BTreeSet<String>,
+    tasks: BTreeMap<(JobId, u32, u64), (TaskPhase, f64)>,
+}
+
+pub struct Crew {
+    pub core: Core,
+    pub now: f64,
+    /// Workers that neither hear nor are heard.
+    pub silent: BTreeSet<String>,
+    /// Workers that fail every task.
+    pub sick: BTreeSet<String>,
+    pub returned: Vec<String>,
+    /// Changes written so far.
+    pub changes: usize,
+    pub starts: u64,
+    /// Processor time of each step, in seconds.
+    pub steps: Vec<f64>,
+    /// The roster as it is stored.
+    pub roster: BTreeMap<u32, Value>,
+    report_s: f64,
+    lease_s: f64,
+    workers: BTreeMap<String, Worker>,
+    specs: BTreeMap<JobId, JobSpec>,
+    later: Vec<(f64, Input)>,
+    asked: BTreeMap<u64, String>,
+    ticket: u64,
+    next_step: f64,
+}
+
+impl Crew {
+    pub fn new(types: &str, cluster: Value, token: u64) -> Self {
+        Self::after(types, cluster, token, Snapshot::default())
+    }
+
+    /// A crew whose leader starts from what is stored.
+    pub fn after(types: &str, cluster: Value, token: u64, snapshot: Snapshot) -> Self {
+        let cluster: Cluster = serde_json::from_value(cluster).expect("valid");
+        let (report_s, lease_s) = (cluster.workers.report_s, cluster.workers.lease_s);
+        let config = Config {
+            cluster,
+            tuning: Tuning::default(),
+        };
+        let types = parse_types(types.as_bytes()).expect("valid");
+        let specs = snapshot.jobs.iter().map(|j| (j.spec.id, j.spec.clone()));
+        Self {
+            specs: specs.collect(),
+            core: Core::new(config, token, 0.0, types, snapshot),
+            now: 0.0,
+            silent: BTreeSet::new(),
+            sick: BTreeSet::new(),
+            returned: Vec::new(),
+            changes: 0,
+            starts: 0,
+            steps: Vec::new(),
+            roster: BTreeMap::new(),
+            report_s,
+            lease_s,
+            workers: BTreeMap::new(),
+            later: Vec::new(),
+            asked: BTreeMap::new(),
+            ticket: 0,
+            next_step: 0.0,
+        }
+    }
+
+    pub fn add(&mut self, name: &str, flavor: &'static str, zone: &'static str, first_report: f64) {
+        let worker = Worker {
+            flavor,
+            zone,
+            session: 1,
+            counter: 0,
+            token: 0,
+            next_report: first_report,
+            reported_at: f64::NEG_INFINITY,
+            answered_at: first_report,
+            images: BTreeSet::new(),
+            tasks: BTreeMap::new(),
+        };
+        self.workers.insert(name.to_string(), worker);
+    }
+
+    pub fn submit(&mut self, body: &Value) -> JobId {
+        let job = stored(body, self.core.token + 1);
+        let id = job.spec.id;
+        self.specs.insert(id, job.spec.clone());
+        self.later.push((self.now, Input::Job(job)));
+        id
+    }
+
+    /// Where the tasks of a job are, be they fetching or running.
+    pub fn places(&self, job: JobId) -> Vec<(u32, &str)> {
+        self.workers
+            .iter()
+            .flat_map(|(name, w)| {
+                w.tasks
+                    .iter()
+                    .filter(move |((j, ..), (phase, _))| {
+                        *j == job && !matches!(phase, TaskPhase::Exited(_))
+                    })
+                    .map(move |((_, task, _), _)| (*task, name.as_str()))
+            })
+            .collect()
+    }
+
+    /// The roster as the next leader would read it.
+    pub fn stored_roster(&self) -> Vec<RosterPage> {
+        self.roster
+            .iter()
+            .map(|(&page, value)| {
+                let machines: BTreeMap<String, _> =
+                    serde_json::from_value(value.clone()).expect("parses");
+                RosterPage {
+                    page,
+                    version: 5,
+                    machines: Some(machines.into_iter().collect()),
+                }
+            })
+            .collect()
+    }
+
+    pub fn run(&mut self, seconds: f64) {
+        let until = self.now + seconds;
+        while self.now < until {
+            self.now += TICK_S;
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        let mut inputs = Vec::new();
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.progress(&name);
+            let w = &self.workers[&name];
+            if w.next_report > now || self.silent.contains(&name) {
+                continue;
+            }
+            self.ticket += 1;
+            self.asked.insert(self.ticket, name.clone());
+            let report = self.report(&name);
+            inputs.push(Input::Report {
+                ticket: self.ticket,
+                report,
+            });
+            let report_s = self.report_s;
+            let w = self.workers.get_mut(&name).expect("known");
+            w.reported_at = now;
+            w.next_report = now + report_s;
+        }
+        let (due, later) = std::mem::take(&mut self.later)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.later = later;
+        inputs.extend(due.into_iter().map(|(_, input): (f64, Input)| input));
+        if inputs.is_empty() && now < self.next_step {
+            return;
+        }
+        self.next_step = now + 0.05;
+        let began = Instant::now();
+        let effects = self.core.step(now, inputs);
+        self.steps.push(began.elapsed().as_secs_f64());
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    /// Lets images arrive, tasks end and leases run out.
+    fn progress(&mut self, name: &str) {
+        let now = self.now;
+        let sick = self.sick.contains(name);
+        let w = self.workers.get_mut(name).expect("known");
+        if now - w.answered_at > self.lease_s {
+            w.session += 1;
+            w.tasks.clear();
+            w.answered_at = now;
+        }
+        let mut changed = false;
+        for ((job, ..), (phase, until)) in &mut w.tasks {
+            if *until > now {
+                continue;
+            }
+            let spec = &self.specs[job];
+            let next = match phase {
+                TaskPhase::Fetching if sick => TaskPhase::Exited(Exit::Error),
+                TaskPhase::Fetching => TaskPhase::Running,
+                TaskPhase::Running => TaskPhase::Exited(Exit::Done),
+                _ => continue,
+            };
+            w.images.insert(spec.image.clone());
+            *phase = next;
+            *until = match spec.kind {
+                Kind::Service => f64::INFINITY,
+                _ => now + spec.estimate_s,
+            };
+            changed = true;
+        }
+        if changed {
+            w.next_report = w.next_report.min(now.max(w.reported_at + 0.5));
+        }
+    }
+
+    fn report(&mut self, name: &str) -> Report {
+        let w = self.workers.get_mut(name).expect("known");
+        w.counter += 1;
+        Report {
+            machine: name.to_string(),
+            address: "10.1.0.1:9000".into(),
+            machine_type: w.flavor.into(),
+            zone: w.zone.into(),
+            spot: false,
+            session: w.session,
+            counter: w.counter,
+            token: w.token,
+            notice_s: None,
+            tasks: w
+                .tasks
+                .iter()
+                .map(|(&(job, task, attempt), &(phase, _))| TaskReport {
+                    job,
+                    task,
+                    attempt,
+                    phase,
+                })
+                .collect(),
+        }
+    }
+
+    fn obey(&mut self, name: &str, commands: &[Command]) {
+        let now = self.now;
+        for c in commands.iter().filter(|c| c.verb == Verb::Start) {
+            let elsewhere = self.workers.iter().any(|(other, w)| {
+                other != name
+                    && w.tasks.iter().any(|((job, task, _), (phase, _))| {
+                        (*job, *task) == (c.job, c.task) && !matches!(phase, TaskPhase::Exited(_))
+                    })
+            });
+            assert!(!elsewhere, "{}/{} ran twice", c.job, c.task);
+        }
+        let token = self.core.token;
+        let w = self.workers.get_mut(name).expect("known");
+        w.token = token;
+        for c in commands {
+            let key = (c.job, c.task, c.attempt);
+            match c.verb {
+                Verb::Start => {
+                    self.starts += 1;
+                    let here = w.images.contains(&self.specs[&c.job].image);
+                    let fetch = if here { 0.0 } else { FETCH_S };
+                    w.tasks
+                        .entry(key)
+                        .or_insert((TaskPhase::Fetching, now + fetch));
+                }
+                Verb::Stop { .. } => {
+                    if let Some(t) = w.tasks.get_mut(&key) {
+                        t.0 = TaskPhase::Exited(Exit::Stopped { saved: true });
+                    }
+                }
+                Verb::Forget => {
+                    w.tasks.remove(&key);
+                }
+            }
+        }
+        if !commands.is_empty() {
+            w.next_report = w.next_report.min(now.max(w.reported_at + 0.5));
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Answer { ticket, body } => {
+                let name = self.asked.remove(&ticket).expect("asked once");
+                self.workers.get_mut(&name).expect("known").answered_at = now;
+                self.obey(&name, &commands_of(&body));
+            }
+            Effect::Direct {
+                machine,
+                session,
+                flight,
+                commands,
+                ..
+            } => {
+                let reached = !self.silent.contains(&machine);
+                let outcome = if !reached {
+                    DirectOutcome::Unsent
+                } else if self.workers[&machine].session == session {
+                    self.obey(&machine, &commands);
+                    DirectOutcome::Executed(self.report(&machine))
+                } else {
+                    DirectOutcome::Rejected(Some(self.report(&machine)))
+                };
+                self.answer_direct(machine, flight, outcome);
+            }
+            Effect::Inspect {
+                machine, flight, ..
+            } => {
+                let known = self.workers.contains_key(&machine);
+                let outcome = if known && !self.silent.contains(&machine) {
+                    DirectOutcome::Rejected(Some(self.report(&machine)))
+                } else {
+                    DirectOutcome::Unsent
+                };
+                self.answer_direct(machine, flight, outcome);
+            }
+            Effect::Write(batch) => {
+                let mut results = Vec::new();
+                for write in batch {
+                    self.changes += write.changes();
+                    if let Write::Roster { page, value, .. } = &write {
+                        self.roster.insert(*page, value.clone());
+                    }
+                    results.push((write, Written::Stored { version: 500 }));
+                }
+                self.later.push((now + 0.05, Input::Written(results)));
+            }
+            Effect::Rent { request, .. } => {
+                let outcome = RentOutcome::NoCapacity;
+                let input = Input::Rented { request, outcome };
+                self.later.push((now + 0.1, input));
+            }
+            Effect::Return(machines) => {
+                for name in &machines {
+                    self.workers.remove(name);
+                    self.returned.push(name.clone());
+                }
+                let input = Input::Returned { machines, ok: true };
+                self.later.push((now + 0.1, input));
+            }
+            Effect::List => self.later.push((now + 0.1, Input::Listed(Vec::new()))),
+            _ => {}
+        }
+    }
+
+    /// A silent machine is known to be so only when the time to connect is over.
+    fn answer_direct(&mut self, machine: String, flight: u64, outcome: DirectOutcome) {
+        let after = match outcome {
+            DirectOutcome::Unsent => 0.5,
+            _ => 0.01,
+        };
+        let input = Input::Direct {
+            machine,
+            flight,
+            outcome,
+        };
+        self.later.push((self.now + after, input));
+    }
+}
+
+/// A job as the state service keeps it.
+pub fn stored(body: &Value, version: u64) -> StoredJob {
+    let mut whole = json!({"jobclass": "c", "owner": "team", "shape": "sweep", "rank": "normal",
+        "shards": 1, "cpus": 1.0, "memory_gb": 2.0, "bundle": "img", "pull_gb": 0.5, "runtime_s": 20.0});
+    for (k, v) in body.as_object().expect("an object") {
+        whole[k] = v.clone();
+    }
+    let spec = JobSpec::from_json(&whole).expect("valid");
+    StoredJob {
+        accepted_ms: spec.id.0,
+        spec,
+        age_s: 0.0,
+        version,
+    }
+}
+
+fn commands_of(body: &[u8]) -> Vec<Command> {
+    let body: Value = serde_json::from_slice(body).expect("JSON");
+    let orders = body["orders"].as_array().expect("a list");
+    let command = |o: &Value| {
+        let (job, task) = parse_task(o["shard"].as_str().expect("a name")).expect("an id");
+        Command {
+            verb: match o["verb"].as_str() {
+                Some("start") => Verb::Start,
+                Some("clear") => Verb::Forget,
+                _ => Verb::Stop { grace_s: 0.0 },
+            },
+            job,
+            task,
+            attempt: o["try"].as_u64().expect("a number"),
+        }
+    };
+    orders.iter().map(command).collect()
+}
--- a/standins/mod.rs
+++ b/standins/mod.rs
@@ -3,5 +3,6 @@
 //! simulated time; `examples/site.rs` serves them on loopback.
 #![allow(dead_code)]
 
+pub mod crew;
 pub mod site;
 pub mod state;
--- /dev/null
+++ b/tests/behaviours.rs
@@ -0,0 +1,263 @@
+//! What the core does on a site, with workers that obey at once. Each of these
+//! guards against something that was seen to go wrong.
+
+#[path = "../standins/mod.rs"]
+mod standins;
+
+use std::collections::BTreeSet;
+
+use copperfield::bookkeeping::{RosterPage, Snapshot};
+use copperfield::protocol::JobId;
+use serde_json::{Value, json};
+use standins::crew::{Crew, stored};
+
+const TYPES: &str = r#"{"flavors":[
+ {"name":"small","cpus":4,"memory_gb":16,"local_gb":50,"pull_gb_per_s":1,"price":0.2,"ready_s":10,"regions":["a","b"]},
+ {"name":"big","cpus":12,"gpus":2,"memory_gb":48,"local_gb":90,"pull_gb_per_s":1,"price":5.0,"ready_s":10,"regions":["a","b"]}]}"#;
+
+fn cluster() -> Value {
+    json!({"zones": ["a", "b"], "teams": [{"name": "team"}],
+        "objectives": [{"kind": "wait", "class": "bake", "within_s": 20.0}, {"kind": "wait", "class": "bake", "within_s": 90.0}],
+        "workers": {"report_s": 2.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0, "cancel_s": 30.0},
+        "state": {"rps": 200, "write_rps": 50, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 5},
+        "limits": {"max_sockets": 1000}})
+}
+
+/// A site with machines of a type in each zone, named a-small-0 and so on.
+fn site(machines: &[(&'static str, &'static str, usize)]) -> Crew {
+    let mut crew = Crew::new(TYPES, cluster(), 50);
+    for &(zone, flavor, count) in machines {
+        for i in 0..count {
+            let name = format!("{zone}-{flavor}-{i}");
+            // Reports are spread over the interval, as they are in life.
+            crew.add(&name, flavor, zone, 0.1 + i as f64 * 1.9 / count as f64);
+        }
+    }
+    crew
+}
+
+fn service(id: u64, tasks: u32) -> Value {
+    json!({"uid": format!("wk-{id:06}"), "shape": "service", "rank": "production", "shards": tasks,
+        "cpus": 2.0, "runtime_s": 0.0, "spread": true, "bundle": "web"})
+}
+
+fn bake(id: u64, tasks: u32, runtime_s: f64) -> Value {
+    json!({"uid": format!("wk-{id:06}"), "jobclass": "bake", "shape": "group", "shards": tasks,
+        "cpus": 10.0, "gpus": 2.0, "memory_gb": 38.0, "runtime_s": runtime_s, "one_zone": true,
+        "snapshot_every_s": 45.0, "snapshot_s": 2.0, "flavors": ["big"]})
+}
+
+fn tasks_placed(crew: &Crew, job: JobId) -> usize {
+    let tasks: BTreeSet<u32> = crew.places(job).into_iter().map(|(task, _)| task).collect();
+    tasks.len()
+}
+
+/// In a zone cut the machines of the zone were returned one by one as each
+/// became late, though their replicas served on; afterwards they were missing.
+#[test]
+fn a_zone_that_is_cut_keeps_its_machines_and_its_replicas_move_when_their_lease_ends() {
+    let mut crew = site(&[("a", "small", 8), ("b", "small", 8)]);
+    let job = crew.submit(&service(1, 8));
+    crew.run(20.0);
+    assert_eq!(tasks_placed(&crew, job), 8);
+    let cut: BTreeSet<String> = (0..8).map(|i| format!("b-small-{i}")).collect();
+    let there = crew
+        .places(job)
+        .iter()
+        .filter(|(_, m)| cut.contains(*m))
+        .count();
+    assert_eq!(there, 4, "spread over the zones");
+    crew.silent = cut.clone();
+    crew.run(16.0);
+    assert_eq!(crew.returned, Vec::<String>::new());
+    // Spread allows no more than half in one zone, so these wait for theirs.
+    crew.silent.clear();
+    crew.run(4.0);
+    assert_eq!(tasks_placed(&crew, job), 8);
+}
+
+/// One machine that hangs while its zone is heard is returned: that proves at
+/// once that its replicas are gone.
+#[test]
+fn a_machine_that_hangs_alone_is_returned_for_its_replicas() {
+    let mut crew = site(&[("a", "small", 8), ("b", "small", 8)]);
+    let job = crew.submit(&service(1, 8));
+    crew.run(20.0);
+    let hung = crew.places(job)[0].1.to_string();
+    crew.silent.insert(hung.clone());
+    crew.run(5.0);
+    assert_eq!(crew.returned, vec![hung]);
+    assert_eq!(tasks_placed(&crew, job), 8);
+}
+
+/// A service never ends a task, so one that had failed once was in doubt for
+/// ever, and with its other replicas running it started no more.
+#[test]
+fn a_replica_that_failed_on_a_sick_machine_starts_elsewhere() {
+    let mut crew = site(&[("a", "small", 3), ("b", "small", 3)]);
+    let job = crew.submit(&service(1, 4));
+    crew.run(20.0);
+    let lost = crew.places(job)[0].1.to_string();
+    crew.sick = (0..3).map(|i| format!("a-small-{i}")).collect();
+    crew.sick.remove(&lost);
+    crew.silent.insert(lost);
+    crew.run(25.0);
+    crew.sick.clear();
+    crew.run(30.0);
+    assert_eq!(tasks_placed(&crew, job), 4);
+}
+
+/// Replicas that wait stop gangs where nothing else makes room.
+#[test]
+fn replicas_stop_a_gang_where_there_is_no_other_room() {
+    let mut crew = site(&[("a", "big", 2), ("b", "big", 2)]);
+    let gangs: Vec<JobId> = [1, 2].map(|id| crew.submit(&bake(id, 2, 500.0))).into();
+    crew.run(10.0);
+    assert!(gangs.iter().all(|&g| tasks_placed(&crew, g) == 2));
+    let job = crew.submit(&service(9, 6));
+    crew.run(10.0);
+    assert_eq!(tasks_placed(&crew, job), 6);
+}
+
+/// Singles took each machine as it came free, and a gang of several waited for
+/// minutes. Close to its next aim it gathers machines.
+#[test]
+fn a_late_gang_gathers_machines_that_singles_keep_coming_for() {
+    let mut crew = site(&[("a", "big", 3)]);
+    for id in 1..=3 {
+        crew.submit(&bake(id, 1, 10.0 + id as f64 * 3.0));
+    }
+    crew.run(3.0);
+    let gang = crew.submit(&bake(50, 3, 30.0));
+    // One more single for every one that ends: no two machines are free at once.
+    let mut placed_at = None;
+    for id in 100..160 {
+        if id % 3 == 0 {
+            crew.submit(&bake(id, 1, 12.0));
+        }
+        crew.run(2.0);
+        if placed_at.is_none() && tasks_placed(&crew, gang) == 3 {
+            placed_at = Some(crew.now);
+        }
+    }
+    let placed_at = placed_at.expect("it is placed in the end");
+    assert!(placed_at < 95.0, "in time for its second aim: {placed_at}");
+}
+
+/// Replicas that had started on the largest machines stayed there, and gangs
+/// waited in line for what was left.
+#[test]
+fn replicas_move_off_a_whole_machine_that_a_gang_waits_for() {
+    let mut crew = site(&[("a", "big", 2)]);
+    let job = crew.submit(
+        &json!({"uid": "wk-000001", "shape": "service", "rank": "production",
+        "shards": 4, "cpus": 2.0, "runtime_s": 0.0, "bundle": "web"}),
+    );
+    crew.run(40.0);
+    for i in 0..2 {
+        crew.add(&format!("a-small-{i}"), "small", "a", crew.now + 0.1);
+    }
+    let gang = crew.submit(&bake(2, 2, 60.0));
+    crew.run(15.0);
+    assert_eq!(tasks_placed(&crew, gang), 2);
+    crew.run(5.0);
+    assert_eq!(tasks_placed(&crew, job), 4, "every replica serves again");
+}
+
+/// A thousand machines are recorded in a few changes, not in one each.
+#[test]
+fn many_machines_share_a_stored_page() {
+    let mut crew = site(&[("a", "small", 60), ("b", "small", 60)]);
+    crew.run(10.0);
+    assert!(
+        crew.changes <= 60,
+        "{} changes for 120 machines",
+        crew.changes
+    );
+    let stored: usize = crew
+        .roster
+        .values()
+        .map(|v| v.as_object().expect("a map").len())
+        .sum();
+    assert_eq!(stored, 120);
+    for value in crew.roster.values() {
+        assert!(
+            value.to_string().len() <= 8 * 1024,
+            "within the value limit"
+        );
+    }
+}
+
+/// Machines that had died stayed on the roster, and the next leader waited a
+/// whole lease for their answers.
+#[test]
+fn a_machine_whose_lease_has_run_out_leaves_the_roster() {
+    let mut crew = site(&[("a", "small", 3)]);
+    crew.run(5.0);
+    crew.silent.insert("a-small-1".into());
+    crew.run(15.0);
+    let names: Vec<&String> = crew
+        .roster
+        .values()
+        .flat_map(|v| v.as_object().expect("a map").keys())
+        .collect();
+    assert_eq!(names, ["a-small-0", "a-small-2"]);
+    crew.silent.clear();
+    crew.run(4.0);
+    let job = crew.submit(&json!({"uid": "wk-000001", "shards": 12, "memory_gb": 1.0}));
+    crew.run(3.0);
+    assert_eq!(
+        tasks_placed(&crew, job),
+        12,
+        "it is recorded anew before it is used"
+    );
+}
+
+fn recovered(spot: bool, page: impl Fn(Vec<RosterPage>) -> Vec<RosterPage>) -> (Crew, JobId) {
+    let mut before = site(&[("a", "small", 2)]);
+    before.run(3.0);
+    let mut pages = before.stored_roster();
+    for (name, record) in pages[0].machines.iter_mut().flatten() {
+        record.spot = spot && name == "a-small-1";
+    }
+    let snapshot = Snapshot {
+        jobs: vec![stored(&json!({"uid": "wk-000001"}), 40)],
+        progress: Vec::new(),
+        roster: page(pages),
+    };
+    let mut crew = Crew::after(TYPES, cluster(), 60, snapshot);
+    crew.add("a-small-0", "small", "a", 0.2);
+    crew.run(2.0);
+    (crew, JobId(1))
+}
+
+/// One taken spot machine held every old job back for a whole lease after each
+/// failover, though most could not have been there.
+#[test]
+fn a_silent_spot_machine_holds_back_only_what_may_be_on_it() {
+    let (crew, job) = recovered(true, |pages| pages);
+    assert_eq!(tasks_placed(&crew, job), 1, "the job takes no spot machine");
+    let (crew, job) = recovered(false, |pages| pages);
+    assert_eq!(
+        tasks_placed(&crew, job),
+        0,
+        "the job may be on the silent one"
+    );
+}
+
+/// A page that does not parse is kept, and whatever its machines may hold waits
+/// for the end of their leases.
+#[test]
+fn an_unreadable_page_of_the_roster_holds_back_old_jobs_for_a_lease() {
+    let (mut crew, job) = recovered(false, |mut pages| {
+        pages[0].machines = None;
+        pages
+    });
+    assert_eq!(tasks_placed(&crew, job), 0);
+    crew.run(9.5);
+    assert_eq!(tasks_placed(&crew, job), 1);
+    assert!(
+        !crew.roster.contains_key(&0),
+        "the unreadable page is never overwritten"
+    );
+}
