A new replica may fetch where the fetch is short enough for its aim

Cause: nearly every replica that started after the first minute fetched its image (debug line start, new), on the cheapest machines, which fetch slowest; nothing else made them late.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -843,6 +843,15 @@
             stop: None,
             running_since: None,
         };
+        tracing::debug!(
+            job = %self.jobs[ix].spec.id,
+            task,
+            machine = self.machines[m].name,
+            waited_s = self.now - self.jobs[ix].seen_at,
+            class = self.jobs[ix].spec.class,
+            fetches = !self.machines[m].images.contains(&self.jobs[ix].image),
+            "start"
+        );
         self.add_copy(m, key, copy);
         let command = self.command(key, Verb::Start);
         let machine = &mut self.machines[m];
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -8,8 +8,10 @@
 
 /// Steepness of the bid gate (the paper's k).
 const GATE_STEEPNESS: f64 = 25.0;
-/// Who must start within this does not wait for a fetch if that can be helped.
+/// Who must start within this does not wait for a long fetch if that can be helped.
 const IMPATIENT_S: f64 = 5.0;
+/// The share of that time that a fetch may take: rates are known to a third.
+const IN_TIME: f64 = 0.8;
 /// So long before its next aim a late job goes before all others: about what
 /// it takes to gather machines for it.
 const RESCUE_S: f64 = 45.0;
@@ -205,8 +207,11 @@
     /// replica stays, so it must not settle where it keeps whole-machine tasks
     /// away, and one that is wanted at once should find its image.
     fn tier(&self, ix: u32, m: u32) -> u8 {
-        let fetches = self.jobs[ix].patience_s < IMPATIENT_S
-            && !self.machines[m].images.contains(&self.jobs[ix].image);
+        let patience = self.jobs[ix].patience_s;
+        // A replica that is restored is missed all the while it fetches.
+        let new = self.now - self.jobs[ix].seen_at < patience;
+        let may_fetch_s = if new { patience * IN_TIME } else { 0.0 };
+        let fetches = patience < IMPATIENT_S && self.fetch_s(ix, m) > may_fetch_s;
         let breaks = self.jobs[ix].is_service() && self.breaks_whole(ix, m);
         u8::from(fetches) + 2 * u8::from(breaks)
     }
