--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -310,6 +310,25 @@
         ix
     }
 
+    /// The lowest rate at which any type fetches images.
+    pub fn slowest_fetch(&self) -> f64 {
+        self.known
+            .iter()
+            .flatten()
+            .map(|t| t.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// The highest rate among the allowed types.
+    pub fn fastest_fetch(&self, allowed: Option<&[u32]>) -> f64 {
+        let rate = (0u32..)
+            .zip(&self.known)
+            .filter(|(ix, _)| allowed.is_none_or(|list| list.contains(ix)))
+            .filter_map(|(_, t)| Some(t.as_ref()?.fetch_gb_per_s))
+            .fold(0.0, f64::max);
+        if rate > 0.0 { rate } else { f64::INFINITY }
+    }
+
     pub fn get(&self, ix: u32) -> Option<&MachineType> {
         self.known.get(ix as usize).and_then(Option::as_ref)
     }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -8,9 +8,7 @@
 
 /// Steepness of the bid gate (the paper's k).
 const GATE_STEEPNESS: f64 = 25.0;
-/// Who must start within this does not wait for a long fetch if that can be helped.
-const IMPATIENT_S: f64 = 5.0;
-/// The share of that time that a fetch may take: rates are known to a third.
+/// The share of the time an aim leaves that a fetch may take: rates are known to a third.
 const IN_TIME: f64 = 0.8;
 /// So long before its next aim a late job goes before all others: about what
 /// it takes to gather machines for it.
@@ -203,15 +201,26 @@
         self.weight(ix) * work / cost.max(1e-12) * gate * delay
     }
 
+    /// Whether a fetch can take a job longer than its aim allows, on the machines
+    /// that fetch slowest.
+    fn wants_image(&self, ix: u32) -> bool {
+        let job = &self.jobs[ix];
+        job.spec.image_gb / self.types.slowest_fetch() > job.patience_s * IN_TIME
+    }
+
     /// How well a machine suits a job for longer than a moment; 0 is best. A
     /// replica stays, so it must not settle where it keeps whole-machine tasks
     /// away, and one that is wanted at once should find its image.
     fn tier(&self, ix: u32, m: u32) -> u8 {
-        let patience = self.jobs[ix].patience_s;
+        let job = &self.jobs[ix];
         // A replica that is restored is missed all the while it fetches.
-        let new = self.now - self.jobs[ix].seen_at < patience;
-        let may_fetch_s = if new { patience * IN_TIME } else { 0.0 };
-        let fetches = patience < IMPATIENT_S && self.fetch_s(ix, m) > may_fetch_s;
+        let restored = job.is_service() && self.now - job.seen_at >= job.patience_s;
+        let may_fetch_s = if restored {
+            0.0
+        } else {
+            job.patience_s * IN_TIME
+        };
+        let fetches = self.wants_image(ix) && self.fetch_s(ix, m) > may_fetch_s;
         let breaks = self.jobs[ix].is_service() && self.breaks_whole(ix, m);
         u8::from(fetches) + 2 * u8::from(breaks)
     }
@@ -219,7 +228,7 @@
     /// The best tier in which the job finds or may make room. It goes to no
     /// worse one, though it may have to stop lower work in the better.
     pub(super) fn best_tier(&self, ix: u32) -> u8 {
-        if !self.jobs[ix].is_service() && self.jobs[ix].patience_s >= IMPATIENT_S {
+        if !self.jobs[ix].is_service() && !self.wants_image(ix) {
             return 0;
         }
         self.machines
