A gang's turn counts its fetch: one past that lets others be in time

Cause: the fetch is most of a gang's wait (8 GB at 0.5 GB/s, 6 GB at 0.4), yet a gang kept its place in the first tier until the aim itself had passed.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -425,6 +425,7 @@
             JobState::Live
         };
         let objectives = &self.config.cluster.objectives;
+        let fetch_s = spec.image_gb / self.types.fastest_fetch(types.as_deref());
         let job = Job {
             version: stored.version,
             state,
@@ -446,7 +447,7 @@
             unplaced_since: None,
             worthwhile_s: worthwhile_s(objectives, &spec),
             patience_s: patience_s(objectives, &spec),
-            start_by: start_by(objectives, &spec),
+            start_by: start_by(objectives, &spec, fetch_s),
             shape: None,
             attempt: None,
             proved: false,
@@ -1709,9 +1710,13 @@
         .unwrap_or(3600.0)
 }
 
-/// How long after its submission a job must have started, by each aim.
-fn start_by(objectives: &[Objective], spec: &JobSpec) -> Vec<f64> {
-    let mut all: Vec<f64> = waits(objectives, spec).collect();
+/// How long after its submission a job must be placed to start in time, by each
+/// aim, if most machines have yet to fetch its image. One that is past that
+/// leaves its turn to those that can still be in time.
+fn start_by(objectives: &[Objective], spec: &JobSpec, fetch_s: f64) -> Vec<f64> {
+    let mut all: Vec<f64> = waits(objectives, spec)
+        .map(|within| (within - 0.8 * fetch_s).max(within * 0.2))
+        .collect();
     all.sort_by(f64::total_cmp);
     if all.is_empty() {
         all.push(patience_s(objectives, spec));
