--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,10 @@
 use copperfield::settings::{Settings, Tuning, tuning_beside};
 use copperfield::transport::client::Http;
 use copperfield::transport::server::serve;
+use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 /// A cluster scheduler for small sites.
 ///
@@ -96,12 +100,19 @@
         Ok("error") => tracing::Level::ERROR,
         _ => tracing::Level::INFO,
     };
+    // A client that hangs up is no error of ours. When a cut resets the connections
+    // of a thousand workers, warp's line for each buried everything else.
+    let quiet = Targets::new()
+        .with_default(level)
+        .with_target("warp", LevelFilter::OFF);
     tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
         .with_max_level(level)
         .with_ansi(false)
         .with_target(false)
         .without_time()
+        .finish()
+        .with(quiet)
         .init();
 }
 
