--- a/standins/crew.rs
+++ b/standins/crew.rs
@@ -46,6 +46,8 @@
     pub starts: u64,
     /// Processor time of each step, in seconds.
     pub steps: Vec<f64>,
+    /// The longest value written so far, in bytes.
+    pub largest_value: usize,
     /// The roster as it is stored.
     pub roster: BTreeMap<u32, Value>,
     report_s: f64,
@@ -83,6 +85,7 @@
             changes: 0,
             starts: 0,
             steps: Vec::new(),
+            largest_value: 0,
             roster: BTreeMap::new(),
             report_s,
             lease_s,
@@ -257,7 +260,7 @@
         }
     }
 
-    fn obey(&mut self, name: &str, commands: &[Command]) {
+    pub fn obey(&mut self, name: &str, commands: &[Command]) {
         let now = self.now;
         for c in commands.iter().filter(|c| c.verb == Verb::Start) {
             let elsewhere = self.workers.iter().any(|(other, w)| {
@@ -338,6 +341,9 @@
                 let mut results = Vec::new();
                 for write in batch {
                     self.changes += write.changes();
+                    if let Write::Roster { value, .. } | Write::Progress { value, .. } = &write {
+                        self.largest_value = self.largest_value.max(value.to_string().len());
+                    }
                     if let Write::Roster { page, value, .. } = &write {
                         self.roster.insert(*page, value.clone());
                     }
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -8,6 +8,7 @@
 
 use copperfield::bookkeeping::{RosterPage, Snapshot};
 use copperfield::protocol::JobId;
+use copperfield::protocol::worker::{Command, Verb};
 use serde_json::{Value, json};
 use standins::crew::{Crew, stored};
 
@@ -180,12 +181,7 @@
         .map(|v| v.as_object().expect("a map").len())
         .sum();
     assert_eq!(stored, 120);
-    for value in crew.roster.values() {
-        assert!(
-            value.to_string().len() <= 8 * 1024,
-            "within the value limit"
-        );
-    }
+    assert!(crew.largest_value <= 8 * 1024, "within the value limit");
 }
 
 /// Machines that had died stayed on the roster, and the next leader waited a
@@ -261,3 +257,45 @@
         "the unreadable page is never overwritten"
     );
 }
+
+/// The largest job there may be: its bits are stored in chunks that fit, and
+/// its size does not slow the rest down.
+#[test]
+fn a_job_of_100_000_tasks_runs_beside_others() {
+    let mut crew = site(&[("a", "small", 8), ("b", "small", 8)]);
+    crew.submit(
+        &json!({"uid": "wk-000001", "shards": 100_000, "runtime_s": 2.0, "memory_gb": 1.0}),
+    );
+    crew.run(20.0);
+    assert!(crew.starts > 200, "{} starts", crew.starts);
+    assert!(crew.largest_value > 1000, "its bits are stored");
+    assert!(
+        crew.largest_value <= 8 * 1024,
+        "in chunks within the value limit"
+    );
+    let job = crew.submit(&service(2, 4));
+    crew.run(4.0);
+    assert_eq!(tasks_placed(&crew, job), 4, "replicas find room at once");
+}
+
+/// The check in the crew is able to fail.
+#[test]
+#[should_panic(expected = "ran twice")]
+fn a_planted_second_copy_is_noticed() {
+    let mut crew = site(&[("a", "small", 2)]);
+    let job = crew.submit(&json!({"uid": "wk-000001"}));
+    crew.run(3.0);
+    let there = crew.places(job)[0].1.to_string();
+    let other = if there == "a-small-0" {
+        "a-small-1"
+    } else {
+        "a-small-0"
+    };
+    let start = Command {
+        verb: Verb::Start,
+        job,
+        task: 0,
+        attempt: 7,
+    };
+    crew.obey(other, &[start]);
+}
