--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -20,7 +20,7 @@
 /// Images are a hint and dead machines only cost the next leader a question:
 /// neither is written at once.
 const HINT_EVERY_S: Time = 10.0;
-const STRIKE_AFTER_S: Time = 1.0;
+const STRIKE_AFTER_S: Time = 0.3;
 
 #[derive(Debug, Default)]
 struct Page {
