Pauses of the process, evidence for sick machines, late boots, replicas in haste

Cause: a leader that stood still took all machines for silent on waking and gave up; answers read late counted as fresh; returns were not checked as they left; several mistaken jobs at once had good machines quarantined; machines that never come up were counted on; replicas waited for guests' work to save.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -162,6 +162,8 @@
     pub config: Config,
     pub token: u64,
     pub(super) elected_at: Time,
+    /// The election, put off by the pauses of this process since.
+    listening_since: Time,
     pub(super) now: Time,
     pub(super) zones: Names,
     pub(super) types: Types,
@@ -226,6 +228,7 @@
             config,
             token,
             elected_at: now,
+            listening_since: now,
             now,
             zones,
             types: Types::default(),
@@ -294,6 +297,18 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// This process stood still while its clock ran on. Whoever was silent in that
+    /// time was not asked: a node that had slept once gave leadership up, and might
+    /// have returned good machines. Leases are another matter: they run on.
+    pub fn paused(&mut self, pause_s: f64) {
+        self.listening_since += pause_s;
+        for (_, machine) in self.machines.iter_mut() {
+            for at in [&mut machine.heard_at, &mut machine.unanswered_at] {
+                *at = at.map(|t| t + pause_s);
+            }
+        }
+    }
+
     /// What users are told of a job. Only for a leader whose lease is good.
     pub fn lookup(&self, id: JobId) -> Lookup {
         if let Some(&phase) = self.over.get(&id) {
@@ -452,6 +467,7 @@
             attempt: None,
             proved: false,
             failed_on: Vec::new(),
+            failures: 0,
             retry_at: 0.0,
             chunks: vec![0; chunks],
             chunk_due: vec![None; chunks],
@@ -616,7 +632,6 @@
             job.active -= 1;
         }
         job.done += 1;
-        job.proved = true;
         job.chunk_due[(task / chunk_tasks) as usize].get_or_insert(due);
         self.finish_if_done(ix);
     }
@@ -931,6 +946,7 @@
                 let kind = self.types.intern(&report.machine_type);
                 let zone = self.zones.intern(&report.zone);
                 tracing::info!(machine = report.machine, "machine is up");
+                self.machine_booted(&report.machine);
                 self.add_machine(&report.machine, &report.address, kind, zone, report.spot)
             }
         };
@@ -1212,10 +1228,12 @@
         let over = matches!(self.jobs[key.job].state, JobState::Over(_));
         let stopping = copy.stop.is_some();
         let job = &mut self.jobs[key.job];
+        job.running = job.running + u32::from(is_running) - u32::from(was_running);
         // A replica never ends, so running is all it can prove. A service that failed
         // on one sick machine once waited for ever with its other replicas running.
-        job.proved |= runs_well;
-        job.running = job.running + u32::from(is_running) - u32::from(was_running);
+        if runs_well {
+            self.job_proved(key.job);
+        }
         if phase != TaskPhase::Fetching && !exits {
             self.has_image(m, key.job);
         }
@@ -1262,6 +1280,7 @@
             Exit::Done => {
                 self.has_image(m, key.job);
                 self.machine_worked(m, key.job);
+                self.job_proved(key.job);
                 if self.jobs[key.job].is_gang() {
                     // They complete together: when one is done, all of them are.
                     for task in 0..self.jobs[key.job].spec.tasks {
@@ -1467,7 +1486,7 @@
             .machines
             .iter()
             .filter_map(|(_, m)| m.heard_at)
-            .fold(self.elected_at, f64::max);
+            .fold(self.listening_since, f64::max);
         self.machines
             .iter()
             .any(|(_, m)| m.was_recorded || m.heard_at.is_some())
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -12,6 +12,19 @@
 const NO_CAPACITY_S: f64 = 20.0;
 const LIST_EVERY_S: f64 = 3.0;
 const TYPES_EVERY_S: f64 = 20.0;
+/// Boot times are between half and one and a half of what is usual.
+const BOOT_SPREAD: f64 = 1.6;
+/// So much longer than that is waited for a machine before it is given back.
+const GIVEN_UP: f64 = 2.5;
+/// One machine says little about the next, and none says more than this.
+const BOOT_WEIGHT: f64 = 0.2;
+const LEAST_BOOT: f64 = 0.05;
+const MOST_BOOT: f64 = 3.0;
+/// How long a job that fails everywhere waits at most before it is tried again: a
+/// gang fetches its image to every machine it is tried on.
+const MISTAKEN_RETRY_S: f64 = 120.0;
+/// How long a job stays away from a machine on which it failed.
+const DISTRUST_S: f64 = 30.0;
 /// Machines asked for at once; the cloud takes no more than 50.
 const MOST_PER_RENTAL: u32 = 50;
 /// Machines returned at once; the cloud takes no more than 100.
@@ -39,6 +52,8 @@
     next_request: u64,
     asked: BTreeMap<String, Rental>,
     booting: BTreeMap<String, Booting>,
+    /// By type: how long machines took to come up, as a multiple of what the cloud says.
+    boot_factor: BTreeMap<u32, f64>,
     no_capacity: BTreeMap<(u32, u32, bool), Time>,
     next_list: Time,
     next_types: Time,
@@ -53,6 +68,7 @@
             next_request: 0,
             asked: BTreeMap::new(),
             booting: BTreeMap::new(),
+            boot_factor: BTreeMap::new(),
             no_capacity: BTreeMap::new(),
             next_list: now,
             next_types: now,
@@ -162,13 +178,35 @@
         }
     }
 
-    /// What booting machines will be able to take.
+    /// A machine reports for the first time: how long did it take?
+    pub(super) fn machine_booted(&mut self, name: &str) {
+        let Some(booting) = self.fleet.booting.remove(name) else {
+            return;
+        };
+        let took = self.now - booting.since;
+        if let Some(kind) = self.types.get(booting.kind) {
+            let seen = (took / kind.boot_s.max(1.0)).clamp(LEAST_BOOT, MOST_BOOT);
+            let factor = self.fleet.boot_factor.entry(booting.kind).or_insert(1.0);
+            *factor += BOOT_WEIGHT * (seen - *factor);
+            tracing::debug!(machine = name, took, factor = *factor, "boot time");
+        }
+    }
+
+    /// When a machine should be up: later than that others are rented in its place.
+    fn boot_overdue_s(&self, kind: u32) -> f64 {
+        let factor = self.fleet.boot_factor.get(&kind).copied().unwrap_or(1.0);
+        let boot_s = self.types.get(kind).map_or(60.0, |t| t.boot_s);
+        boot_s * factor.clamp(0.5, MOST_BOOT) * BOOT_SPREAD + 2.0
+    }
+
+    /// What booting machines will be able to take. What is overdue is not counted:
+    /// some never come up, and work once waited minutes for those.
     fn booting_room(&self) -> Vec<(u32, bool, Amounts)> {
         self.fleet
             .booting
-            .iter()
-            .filter(|(name, _)| !self.machine_ids.contains_key(*name))
-            .filter_map(|(_, b)| {
+            .values()
+            .filter(|b| self.now - b.since <= self.boot_overdue_s(b.kind))
+            .filter_map(|b| {
                 let kind = self.types.get(b.kind)?;
                 Some((b.kind, b.spot, kind.whole))
             })
@@ -178,8 +216,6 @@
     fn rent_for_waiting(&mut self) {
         let now = self.now;
         self.fleet.no_capacity.retain(|_, until| *until > now);
-        let ids = &self.machine_ids;
-        self.fleet.booting.retain(|name, _| !ids.contains_key(name));
         if !self.fleet.asked.is_empty() || !self.fleet.listed_once {
             return;
         }
@@ -193,9 +229,10 @@
         let mut order: Vec<u32> = self
             .jobs
             .iter()
-            .filter(|(_, j)| {
+            .filter(|(ix, j)| {
                 j.state == JobState::Live
                     && j.waiting() > 0
+                    && !self.is_mistaken(*ix)
                     && j.unplaced_since.is_some_and(|t| now - t > 0.5)
             })
             .map(|(ix, _)| ix)
@@ -333,8 +370,8 @@
             .take(MOST_PER_RETURN)
             .collect();
         for (name, b) in &self.fleet.booting {
-            let boot = self.types.get(b.kind).map_or(60.0, |t| t.boot_s);
-            if now - b.since > boot * 5.0 + 30.0 && names.len() < MOST_PER_RETURN {
+            let given_up_s = GIVEN_UP * self.boot_overdue_s(b.kind);
+            if now - b.since > given_up_s && names.len() < MOST_PER_RETURN {
                 tracing::info!(machine = name, "never came up");
                 names.push(name.clone());
             }
@@ -465,44 +502,63 @@
     /// other machines and other jobs have told.
     pub(super) fn task_failed(&mut self, m: u32, key: CopyKey) {
         let now = self.now;
-        let kind = self.machines[m].name.clone();
         let job = &mut self.jobs[key.job];
         let t = &mut job.tasks[key.task as usize];
-        t.errors = t.errors.saturating_add(1);
         t.not_before = (now + 0.5) as f32;
+        job.failures += 1;
         if !job.failed_on.contains(&m) {
             job.failed_on.push(m);
         }
+        if job.failed_on.len() >= 3 && job.done == 0 && !job.is_service() {
+            // It may run well for a while and then fail everywhere all the same.
+            job.proved = false;
+        }
         if self.is_mistaken(key.job) {
-            // It fails wherever it goes: tried now and then, until its user cancels it.
+            // It fails wherever it goes: tried ever more seldom, until its user cancels it.
             let job = &mut self.jobs[key.job];
-            let tries = job.failed_on.len().min(6) as i32;
-            job.retry_at = now + 2.0f64.powi(tries).min(30.0);
+            let pause = 2.0f64.powi(job.failures.min(10) as i32);
+            job.retry_at = now + pause.min(MISTAKEN_RETRY_S);
             if now - job.warned_at > 30.0 {
                 job.warned_at = now;
                 tracing::warn!(job = %job.spec.id, "fails on every machine");
             }
         }
-        self.machines[m].failed.insert(key.job, now + 30.0);
-        let blamed = self.machines[m]
-            .failed
-            .iter()
-            .filter(|(ix, until)| **until > now && !self.is_mistaken(**ix))
-            .count();
-        let proved = self.jobs[key.job].proved;
-        if blamed >= 2 || proved {
-            let machine = &mut self.machines[m];
-            if machine.quarantined_until <= now {
-                machine.quarantines += 1;
-                let pause = 15.0 * 2.0f64.powi(machine.quarantines.min(6) as i32 - 1);
-                machine.quarantined_until = now + pause;
-                tracing::info!(machine = kind, pause, "quarantined");
+        self.machines[m].failed.insert(key.job, now + DISTRUST_S);
+        if self.jobs[key.job].proved {
+            self.quarantine(m);
+        }
+    }
+
+    /// The job has run well, so where it failed the machine was at fault. Only
+    /// such a job tells: several mistaken ones at once, each on its first tries,
+    /// looked like as many good jobs on a sick machine, and new machines that had
+    /// done no other work were given up one after the other.
+    pub(super) fn job_proved(&mut self, ix: u32) {
+        if std::mem::replace(&mut self.jobs[ix].proved, true) {
+            return;
+        }
+        self.jobs[ix].failures = 0;
+        for m in self.machines.indices() {
+            let failed = self.machines[m].failed.get(&ix);
+            if failed.is_some_and(|&until| until > self.now) {
+                self.quarantine(m);
             }
         }
     }
 
+    fn quarantine(&mut self, m: u32) {
+        let now = self.now;
+        let machine = &mut self.machines[m];
+        if machine.quarantined_until <= now {
+            machine.quarantines += 1;
+            let pause = 15.0 * 2.0f64.powi(machine.quarantines.min(6) as i32 - 1);
+            machine.quarantined_until = now + pause;
+            tracing::info!(machine = machine.name, pause, "quarantined");
+        }
+    }
+
     /// Failed on several machines and never worked anywhere.
-    fn is_mistaken(&self, ix: u32) -> bool {
+    pub(super) fn is_mistaken(&self, ix: u32) -> bool {
         self.jobs
             .get(ix)
             .is_some_and(|j| !j.proved && j.failed_on.len() >= 2)
--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -61,8 +61,10 @@
     /// Places for all tasks at once, or none.
     pub(super) fn plan_gang(&self, ix: u32) -> Option<Vec<u32>> {
         let job = &self.jobs[ix];
-        if job.active > 0 {
-            // Tasks of the old attempt stay where they are until they exit.
+        // Tasks of the old attempt stay where they are until they exit. One that failed
+        // is not tried again at once, and holds the others back.
+        let later = |t: &Task| f64::from(t.not_before) > self.now;
+        if job.active > 0 || job.tasks.iter().any(later) {
             return None;
         }
         let zones: Vec<Option<u32>> = if job.spec.one_zone {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -52,7 +52,6 @@
     pub done: bool,
     /// Its done bit is in the state service, so workers may forget it.
     pub stored: bool,
-    pub errors: u8,
     pub not_before: f32,
 }
 
@@ -110,6 +109,8 @@
     /// A task has run well, so the job itself is not mistaken.
     pub proved: bool,
     pub failed_on: Vec<u32>,
+    /// Failures since it last ran well.
+    pub failures: u32,
     pub retry_at: Time,
     /// Versions of the stored bitmap chunks.
     pub chunks: Vec<u64>,
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -129,6 +129,10 @@
         let machines = self.machines.iter().count() as f64;
         let mut budget = LEAST_PER_BATCH.max((machines * PER_MACHINE) as u32);
         for &ix in order {
+            if self.is_mistaken(ix) {
+                // Good work is not stopped for one that fails everywhere.
+                continue;
+            }
             let job = &self.jobs[ix];
             let mut missing = job
                 .waiting()
@@ -167,6 +171,10 @@
                 room.sub(&needs);
             }
         }
+        // What saves leaves its room later. Replicas that were to start within a second
+        // stopped guests' work that saves, and waited for it.
+        let patience = self.jobs[ix].patience_s;
+        let delay = |key: &CopyKey| (self.grace_of(key.job) / patience).min(7.0).exp();
         let mut choices: Vec<(f64, CopyKey)> = Vec::new();
         for (key, copy) in &self.machines[m].copies {
             if !copy.possible() {
@@ -182,12 +190,12 @@
                 // which are missed from the first second on.
                 if self.jobs[ix].is_service() && self.outranks(ix, key.job) {
                     let tasks = f64::from(self.jobs[key.job].spec.tasks);
-                    choices.push((self.loss(key, copy) * tasks, *key));
+                    choices.push((self.loss(key, copy) * tasks * delay(key), *key));
                 }
                 continue;
             }
             if self.outranks(ix, key.job) {
-                choices.push((self.loss(key, copy), *key));
+                choices.push((self.loss(key, copy) * delay(key), *key));
             }
         }
         choices.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -275,16 +283,25 @@
         (!victims.is_empty()).then_some(((cost + 1.0) / value, victims))
     }
 
+    /// The time to save that a task which is stopped gets.
+    fn grace_of(&self, ix: u32) -> f64 {
+        let spec = &self.jobs[ix].spec;
+        if spec.checkpoint_s > 0.0 {
+            grace_to_save(spec.save_s)
+        } else {
+            0.0
+        }
+    }
+
+    fn grace_for(&self, victims: &[CopyKey]) -> f64 {
+        victims
+            .iter()
+            .map(|key| self.grace_of(key.job))
+            .fold(0.0, f64::max)
+    }
+
     pub(super) fn stop_for(&mut self, ix: u32, m: u32, victims: &[CopyKey]) {
-        let mut grace = 0.0f64;
         for key in victims {
-            let spec = &self.jobs[key.job].spec;
-            let g = if spec.checkpoint_s > 0.0 {
-                grace_to_save(spec.save_s)
-            } else {
-                0.0
-            };
-            grace = grace.max(g);
             tracing::debug!(
                 job = %self.jobs[ix].spec.id,
                 victim = %self.jobs[key.job].spec.id,
@@ -294,10 +311,10 @@
             if self.is_whole_gang(key.job) {
                 self.stop_gang(key.job);
             } else {
-                self.stop_copy(m, *key, g);
+                self.stop_copy(m, *key, self.grace_of(key.job));
             }
         }
-        self.claim(m, ix, STOP_CLAIM_S + grace);
+        self.claim(m, ix, STOP_CLAIM_S + self.grace_for(victims));
     }
 
     /// Room claimed for a job, by zone.
@@ -430,14 +447,16 @@
         let Some((_, plan)) = best else {
             return false;
         };
+        let grace = plan.iter().map(|(_, v)| self.grace_for(v));
+        let claim_s = STOP_CLAIM_S + grace.fold(0.0, f64::max);
         for (m, victims) in plan {
             for key in victims {
-                self.stop_copy(m, key, 0.0);
+                self.stop_copy(m, key, self.grace_of(key.job));
             }
             if self.machines[m].claims.is_empty() {
-                self.claim(m, ix, STOP_CLAIM_S);
+                self.claim(m, ix, claim_s);
             } else {
-                self.renew_claim(m, ix, STOP_CLAIM_S);
+                self.renew_claim(m, ix, claim_s);
             }
         }
         true
--- a/src/main.rs
+++ b/src/main.rs
@@ -104,7 +104,9 @@
     // of a thousand workers, warp's line for each buried everything else.
     let quiet = Targets::new()
         .with_default(level)
-        .with_target("warp", LevelFilter::OFF);
+        .with_target("warp", LevelFilter::OFF)
+        // Its pool tells of every connection twice, which hid all else at debug.
+        .with_target("hyper_util", LevelFilter::INFO);
     tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
         .with_max_level(level)
--- a/src/node.rs
+++ b/src/node.rs
@@ -43,6 +43,15 @@
 const DIRECT_DEADLINE: Duration = Duration::from_millis(1500);
 /// How long a leader that heard no worker lets others go first.
 const ABDICATION_MS: u64 = 8000;
+/// How long a transaction without an answer may still be under way.
+const UNSETTLED_MS: u64 = 180_000;
+/// The owner is back at its queue at least every `TICK`. Later than this by so
+/// much, the process stood still, or was given no processor, for the difference.
+const PAUSE: Duration = Duration::from_millis(600);
+/// Users wait 2 s at least. After a longer pause what the sockets hold is stale,
+/// and is worked off within a moment.
+const LONG_PAUSE: Duration = Duration::from_secs(2);
+const STALE_MS: u64 = 100;
 const INSPECT_DEADLINE: Duration = Duration::from_millis(500);
 const CLOUD_DEADLINE: Duration = Duration::from_secs(3);
 
@@ -66,6 +75,12 @@
     stand_back_until: AtomicU64,
     /// When a peer was last heard, in ms since `start`.
     peer_heard: AtomicU64,
+    /// Cancellations that this node may be storing for want of a leader.
+    leaderless: AtomicU64,
+    /// Until when such a one, left without an answer, may still be carried out.
+    unsettled_until: AtomicU64,
+    /// Until when requests may have lain in a socket while this process stood still.
+    stale_until: AtomicU64,
 }
 
 impl Shared {
@@ -96,6 +111,9 @@
             campaigning: AtomicBool::new(false),
             stand_back_until: AtomicU64::new(0),
             peer_heard: AtomicU64::new(0),
+            leaderless: AtomicU64::new(0),
+            unsettled_until: AtomicU64::new(0),
+            stale_until: AtomicU64::new(0),
             settings,
             tuning,
         }
@@ -165,15 +183,52 @@
     /// Vouches for a leader that cannot renew: the state service refuses this
     /// node too, and it will not campaign for one TTL.
     pub fn vouch(&self) -> bool {
-        let free =
-            self.leads(0) && !self.campaigning.load(Ordering::Relaxed) && self.store.is_refused();
+        let now = self.ms(Instant::now());
+        let free = self.leads(0)
+            && !self.campaigning.load(Ordering::Relaxed)
+            && self.leaderless.load(Ordering::Relaxed) == 0
+            && self.unsettled_until.load(Ordering::Relaxed) <= now
+            && self.store.is_refused();
         if free {
-            let until = self.ms(Instant::now()) + self.tuning.leader_ttl_ms;
+            let until = now + self.tuning.leader_ttl_ms;
             self.promised_until.fetch_max(until, Ordering::Relaxed);
         }
         free
     }
 
+    /// Before a cancellation is stored for want of a leader. False if a leader may
+    /// be answering users on this node's word; else no word is given until
+    /// [`Self::end_leaderless`], so that none can be called running meanwhile.
+    pub fn begin_leaderless(&self) -> bool {
+        self.leaderless.fetch_add(1, Ordering::Relaxed);
+        let free = !self.has_promised();
+        if !free {
+            self.leaderless.fetch_sub(1, Ordering::Relaxed);
+        }
+        free
+    }
+
+    pub fn end_leaderless(&self, settled: bool) {
+        if !settled {
+            // The network may carry the transaction out minutes later.
+            let until = self.ms(Instant::now()) + UNSETTLED_MS;
+            self.unsettled_until.fetch_max(until, Ordering::Relaxed);
+        }
+        self.leaderless.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// This process stood still: what came in meanwhile may be of users that have
+    /// given up.
+    fn note_pause(&self) {
+        let until = self.ms(Instant::now()) + STALE_MS;
+        self.stale_until.store(until, Ordering::Relaxed);
+    }
+
+    /// Whether a request read now may have waited longer than its user.
+    pub fn may_be_stale(&self) -> bool {
+        self.stale_until.load(Ordering::Relaxed) > self.ms(Instant::now())
+    }
+
     /// Kept up from before the promise is looked at until the outcome is known.
     pub fn set_campaigning(&self, campaigning: bool) {
         self.campaigning.store(campaigning, Ordering::Relaxed);
@@ -319,6 +374,7 @@
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(BATCH);
+        let mut before = Instant::now();
         loop {
             tokio::select! {
                 n = self.queue.recv_many(&mut batch, BATCH) => {
@@ -328,6 +384,11 @@
                 }
                 _ = tick.tick() => {}
             }
+            let passed = before.elapsed();
+            before = Instant::now();
+            if passed > PAUSE {
+                self.paused(passed - TICK);
+            }
             let mut inputs = Vec::new();
             for command in batch.drain(..) {
                 self.take(command, &mut inputs);
@@ -336,6 +397,17 @@
         }
     }
 
+    /// The clocks ran on while nothing was read: nobody was silent for that.
+    fn paused(&mut self, pause: Duration) {
+        tracing::warn!(?pause, "this process stood still");
+        if pause > LONG_PAUSE {
+            self.shared.note_pause();
+        }
+        if let Role::Leading(l) = &mut self.role {
+            l.core.paused(pause.as_secs_f64());
+        }
+    }
+
     fn take(&mut self, command: Command, inputs: &mut Vec<Input>) {
         match command {
             Command::Hello { report, reply } => self.take_hello(report, reply, inputs),
@@ -658,10 +730,12 @@
         Effect::Return(machines) => {
             let body = cloud::return_body(&machines).to_string().into_bytes();
             shared.cloud_budget.spend(1.0, Urgency::High).await;
-            let ok = matches!(
-                cloud_call(shared, Method::POST, "/rentals/return", body).await,
-                Ok(answer) if answer.status == 200
-            );
+            // A leader that stood still meanwhile would return what the next one uses.
+            let ok = shared.is_valid()
+                && matches!(
+                    cloud_call(shared, Method::POST, "/rentals/return", body).await,
+                    Ok(answer) if answer.status == 200
+                );
             Some(Input::Returned { machines, ok })
         }
         Effect::List => list_machines(shared).await.map(Input::Listed),
--- a/src/service.rs
+++ b/src/service.rs
@@ -62,6 +62,10 @@
 
     pub async fn public(self, request: Incoming) -> Outgoing {
         let path = request.path.as_str();
+        if path.starts_with("/work") && self.shared.may_be_stale() {
+            // Its user has given up, or can ask again at once.
+            return Outgoing::busy("this node stood still", 1);
+        }
         match (&request.method, path) {
             (&Method::POST, "/hello") => self.hello(&request.body).await,
             (&Method::POST, "/work") => {
@@ -113,10 +117,24 @@
         if report.address.parse::<SocketAddr>().is_err() {
             return Outgoing::error(400, "address: not an IP address and port");
         }
-        self.handle
+        match self
+            .handle
             .ask(|reply| Command::Hello { report, reply })
             .await
-            .unwrap_or_else(|| Outgoing::json(421, &json!({})))
+        {
+            // Looked at again as it leaves: the process may have stood still since.
+            Some(answer) if answer.status == 421 || self.shared.is_valid() => answer,
+            _ => Outgoing::json(421, &json!({})),
+        }
+    }
+
+    /// What this node may say of a job now, and who is thought to lead.
+    async fn ask_owner(&self, job: JobId) -> Option<(Lookup, Option<String>)> {
+        let (found, leader) = self.handle.ask(|reply| Command::Ask { job, reply }).await?;
+        match found {
+            Lookup::Live { .. } if !self.shared.is_valid() => Some((Lookup::NotLeading, leader)),
+            found => Some((found, leader)),
+        }
     }
 
     // ---- submissions ----
@@ -232,11 +250,7 @@
 
     /// What this node or the leader knows of a job.
     async fn find(&self, id: JobId) -> Lookup {
-        let Some((found, leader)) = self
-            .handle
-            .ask(|reply| Command::Ask { job: id, reply })
-            .await
-        else {
+        let Some((found, leader)) = self.ask_owner(id).await else {
             return Lookup::AskState;
         };
         if found != Lookup::NotLeading {
@@ -285,11 +299,7 @@
     }
 
     async fn cancelled(&self, id: JobId) -> Lookup {
-        let Some((found, leader)) = self
-            .handle
-            .ask(|reply| Command::Ask { job: id, reply })
-            .await
-        else {
+        let Some((found, leader)) = self.ask_owner(id).await else {
             return Lookup::NotLeading;
         };
         match found {
@@ -327,7 +337,7 @@
         let this = self.clone();
         let settled = tokio::spawn(async move {
             while this.shared.leads(token) {
-                if let Some(found) = this.store_cancelled(id, (LEADER.to_string(), token)).await {
+                if let Ok(found) = this.store_cancelled(id, (LEADER.to_string(), token)).await {
                     let phase = match found {
                         Lookup::Terminal(phase) => Some(phase),
                         _ => None,
@@ -348,27 +358,33 @@
     /// next one reads what is stored here. With one, it must be the leader:
     /// else it might still tell users that the job is running.
     async fn cancel_without_leader(&self, id: JobId) -> Lookup {
-        if self.shared.has_promised() {
-            // A leader may be answering users on this node's word.
+        if !self.shared.begin_leaderless() {
             return Lookup::NotLeading;
         }
-        match self.store_cancelled(id, (LEADER.to_string(), 0)).await {
-            Some(found) => {
-                self.remember(id, found).await;
-                found
-            }
-            None => Lookup::NotLeading,
-        }
+        // Goes on when the user has given up, so that its end is always noted.
+        let this = self.clone();
+        let stored = tokio::spawn(async move {
+            let stored = this.store_cancelled(id, (LEADER.to_string(), 0)).await;
+            let settled = !matches!(stored, Err(StoreError::Unknown(_)));
+            this.shared.end_leaderless(settled);
+            let found = stored.unwrap_or(Lookup::NotLeading);
+            this.remember(id, found).await;
+            found
+        });
+        stored.await.unwrap_or(Lookup::NotLeading)
     }
 
-    async fn store_cancelled(&self, id: JobId, guard: (String, u64)) -> Option<Lookup> {
+    /// `Unknown` only if the transaction may still be carried out.
+    async fn store_cancelled(&self, id: JobId, guard: (String, u64)) -> Result<Lookup, StoreError> {
         let store = &self.shared.store;
-        let live = store.get(&job_key(id), Urgency::High, true).await.ok()?;
-        if let Some(phase) = store.terminal(id).await.ok()? {
-            return Some(Lookup::Terminal(phase));
+        let unread = |_| StoreError::Refused(0);
+        let live = store.get(&job_key(id), Urgency::High, true).await;
+        let live = live.map_err(unread)?;
+        if let Some(phase) = store.terminal(id).await.map_err(unread)? {
+            return Ok(Lookup::Terminal(phase));
         }
         let Some(live) = live else {
-            return Some(Lookup::Never);
+            return Ok(Lookup::Never);
         };
         let txn = Transaction {
             conditions: vec![guard, (job_key(id), live.version), (terminal_key(id), 0)],
@@ -377,11 +393,9 @@
                 Change::Delete { key: job_key(id) },
             ],
         };
-        match store.commit(&txn, Urgency::High, true).await {
-            Ok(_) => Some(Lookup::Terminal(Phase::Cancelled)),
-            // Read again next time: it may have been carried out, or the job has ended.
-            Err(_) => None,
-        }
+        // After an error it is read again: it may have been carried out, or the job has ended.
+        store.commit(&txn, Urgency::High, true).await?;
+        Ok(Lookup::Terminal(Phase::Cancelled))
     }
 
     // ---- peers ----
@@ -393,10 +407,7 @@
         };
         let reply = match message {
             PeerRequest::Lookup(id) => {
-                let found = self
-                    .handle
-                    .ask(|reply| Command::Ask { job: id, reply })
-                    .await;
+                let found = self.ask_owner(id).await;
                 PeerReply::Job(found.map_or(Lookup::NotLeading, |(f, _)| f))
             }
             PeerRequest::Cancel(id) => PeerReply::Job(
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -12,6 +12,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use thiserror::Error;
+use tokio::time::{Instant, timeout};
 
 #[derive(Debug, Clone, Error)]
 pub enum CallError {
@@ -101,9 +102,24 @@
                     .to_bytes();
                 Ok(Answer { status, body })
             };
-            tokio::time::timeout(deadline, exchange)
-                .await
-                .unwrap_or_else(|_| Err(CallError::Unknown("deadline passed".into())))
+            within(deadline, exchange).await
         })
     }
 }
+
+/// Timers may fire this late without anything being wrong.
+const LATE: Duration = Duration::from_millis(100);
+
+/// Ends an exchange at its deadline, also where this process stood still over
+/// it: a timer alone takes an answer that lay in the socket meanwhile, and a
+/// node that woke after 25 s took the leader key of before for news.
+pub async fn within(
+    deadline: Duration,
+    exchange: impl Future<Output = Result<Answer, CallError>>,
+) -> Result<Answer, CallError> {
+    let began = Instant::now();
+    match timeout(deadline, exchange).await {
+        Ok(result) if result.is_err() || began.elapsed() <= deadline + LATE => result,
+        _ => Err(CallError::Unknown("deadline passed".into())),
+    }
+}
--- a/standins/crew.rs
+++ b/standins/crew.rs
@@ -40,6 +40,12 @@
     pub silent: BTreeSet<String>,
     /// Workers that fail every task.
     pub sick: BTreeSet<String>,
+    /// Jobs that fail on every machine.
+    pub mistaken: BTreeSet<JobId>,
+    /// Machines that the cloud still has; those it rents never come up.
+    pub stock: u32,
+    /// When each of them was rented.
+    pub rented: Vec<f64>,
     pub returned: Vec<String>,
     /// Changes written so far.
     pub changes: usize,
@@ -81,6 +87,9 @@
             now: 0.0,
             silent: BTreeSet::new(),
             sick: BTreeSet::new(),
+            mistaken: BTreeSet::new(),
+            stock: 0,
+            rented: Vec::new(),
             returned: Vec::new(),
             changes: 0,
             starts: 0,
@@ -160,6 +169,11 @@
         }
     }
 
+    /// Time passes without the core, as when its process stands still.
+    pub fn sleep(&mut self, seconds: f64) {
+        self.now += seconds;
+    }
+
     fn tick(&mut self) {
         let now = self.now;
         let mut inputs = Vec::new();
@@ -216,7 +230,9 @@
             }
             let spec = &self.specs[job];
             let next = match phase {
-                TaskPhase::Fetching if sick => TaskPhase::Exited(Exit::Error),
+                TaskPhase::Fetching if sick || self.mistaken.contains(job) => {
+                    TaskPhase::Exited(Exit::Error)
+                }
                 TaskPhase::Fetching => TaskPhase::Running,
                 TaskPhase::Running => TaskPhase::Exited(Exit::Done),
                 _ => continue,
@@ -351,8 +367,19 @@
                 }
                 self.later.push((now + 0.05, Input::Written(results)));
             }
-            Effect::Rent { request, .. } => {
-                let outcome = RentOutcome::NoCapacity;
+            Effect::Rent { request, count, .. } => {
+                let count = count.min(self.stock);
+                self.stock -= count;
+                let first = self.rented.len();
+                self.rented.extend((0..count).map(|_| now));
+                let names: Vec<String> = (first..self.rented.len())
+                    .map(|i| format!("rented-{i}"))
+                    .collect();
+                let outcome = if names.is_empty() {
+                    RentOutcome::NoCapacity
+                } else {
+                    RentOutcome::Machines(names)
+                };
                 let input = Input::Rented { request, outcome };
                 self.later.push((now + 0.1, input));
             }
--- a/standins/site.rs
+++ b/standins/site.rs
@@ -350,7 +350,10 @@
             if t.broken_at.is_some_and(|at| at <= now) && !matches!(t.state, State::Ended(_)) {
                 t.state = State::Ended("mates_gone");
                 m.changed = true;
-            } else if let State::Running { left } = &mut t.state {
+            } else if let State::Running { left } = &mut t.state
+                // A gang that has lost a task gets no further, though it has not noticed yet.
+                && t.broken_at.is_none()
+            {
                 *left -= passed;
                 if *left <= 0.0 {
                     t.state = State::Ended("done");
@@ -361,8 +364,12 @@
         }
         for task in ended {
             let (job, number) = task.split_once('/').expect("a task");
-            self.jobs.get_mut(job).expect("known").done
-                [number.parse::<usize>().expect("a number")] = true;
+            let job = self.jobs.get_mut(job).expect("known");
+            if job.body["shape"] == "group" {
+                // They complete together: when one is done, all of them are.
+                job.done.fill(true);
+            }
+            job.done[number.parse::<usize>().expect("a number")] = true;
         }
     }
 
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -18,7 +18,8 @@
 
 fn cluster() -> Value {
     json!({"zones": ["a", "b"], "teams": [{"name": "team"}],
-        "objectives": [{"kind": "wait", "class": "bake", "within_s": 20.0}, {"kind": "wait", "class": "bake", "within_s": 90.0}],
+        "objectives": [{"kind": "wait", "class": "bake", "within_s": 20.0}, {"kind": "wait", "class": "bake", "within_s": 90.0},
+            {"kind": "wait", "class": "web", "within_s": 1.0}],
         "workers": {"report_s": 2.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0, "cancel_s": 30.0},
         "state": {"rps": 200, "write_rps": 50, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 5},
         "limits": {"max_sockets": 1000}})
@@ -299,3 +300,113 @@
     };
     crew.obey(other, &[start]);
 }
+
+/// A leader whose process had stood still found every machine silent on waking: it
+/// gave leadership up, and returned machines that were well.
+#[test]
+fn a_leader_that_slept_takes_nobody_for_silent() {
+    for (pause, told) in [(2.0, true), (9.0, true), (9.0, false)] {
+        let mut crew = site(&[("a", "small", 8), ("b", "small", 8)]);
+        let job = crew.submit(&service(1, 12));
+        crew.run(30.0);
+        crew.sleep(pause);
+        if told {
+            crew.core.paused(pause);
+        }
+        // The first step after it comes before anything has been read.
+        crew.silent = ["a", "b"]
+            .iter()
+            .flat_map(|zone| (0..8).map(move |i| format!("{zone}-small-{i}")))
+            .collect();
+        crew.run(0.06);
+        assert_eq!(crew.core.hears_nobody(), !told);
+        crew.silent.clear();
+        crew.run(1.0);
+        assert!(!told || crew.returned.is_empty(), "{:?}", crew.returned);
+        crew.run(20.0);
+        assert_eq!(tasks_placed(&crew, job), 12);
+    }
+}
+
+/// Several mistaken jobs at once, each on its first tries, looked like as many good
+/// jobs on a sick machine, and machines that had done no other work were given up.
+#[test]
+fn mistaken_jobs_cost_no_good_machine_and_few_starts() {
+    let mut crew = site(&[("a", "small", 4), ("b", "small", 4)]);
+    for id in 1..=12 {
+        let mut body = json!({"uid": format!("wk-{id:06}"), "shards": 40});
+        if id % 3 == 0 {
+            body["shape"] = json!("group");
+            body["shards"] = json!(4);
+        }
+        let job = crew.submit(&body);
+        crew.mistaken.insert(job);
+    }
+    crew.run(60.0);
+    assert!(crew.returned.is_empty(), "{:?}", crew.returned);
+    assert!(crew.starts < 12 * 30, "{} starts", crew.starts);
+    let good = crew.submit(&json!({"uid": "wk-000099", "shards": 32}));
+    crew.run(1.0);
+    assert_eq!(tasks_placed(&crew, good), 32, "every machine is used");
+    let before = crew.starts;
+    crew.run(120.0);
+    assert!(crew.starts - before < 12 * 10, "tried ever more seldom");
+}
+
+/// A machine on which a good job failed is told from the job by where it runs well.
+#[test]
+fn a_sick_machine_is_told_by_a_job_that_runs_elsewhere() {
+    let mut crew = site(&[("a", "small", 1), ("b", "small", 2)]);
+    crew.sick.insert("a-small-0".into());
+    let first = crew.submit(&json!({"uid": "wk-000001", "shards": 9, "runtime_s": 15.0}));
+    crew.run(20.0);
+    let next = crew.submit(&json!({"uid": "wk-000002", "shards": 8, "runtime_s": 15.0}));
+    crew.run(3.0);
+    let on_sick = |job| crew.places(job).iter().any(|(_, m)| *m == "a-small-0");
+    assert!(!on_sick(first) && !on_sick(next));
+}
+
+/// Machines that never came up were waited for, and counted on, for minutes.
+#[test]
+fn what_does_not_come_up_is_replaced_once_and_given_back() {
+    let mut crew = site(&[("a", "small", 1)]);
+    crew.stock = 100;
+    crew.submit(&json!({"uid": "wk-000001", "shards": 8, "runtime_s": 400.0}));
+    crew.run(10.0);
+    let wanted = crew.rented.len();
+    assert_eq!(wanted, 1, "4 of 8 tasks have no room");
+    crew.run(20.0);
+    assert_eq!(
+        crew.rented.len(),
+        2,
+        "replaced once overdue, not twice over"
+    );
+    crew.run(30.0);
+    assert!(crew.returned.contains(&"rented-0".to_string()));
+}
+
+/// Work that saves is stopped with the time to save; replicas that were to start
+/// within a second waited for that beside work that could leave at once.
+#[test]
+fn a_replica_in_haste_stops_work_that_leaves_at_once() {
+    let mut crew = site(&[("a", "small", 4), ("b", "small", 4)]);
+    let saving = json!({"uid": "wk-000001", "rank": "best_effort", "shards": 16, "runtime_s": 300.0,
+        "snapshot_every_s": 30.0, "snapshot_s": 3.0});
+    let saving = crew.submit(&saving);
+    let plain = crew.submit(
+        &json!({"uid": "wk-000002", "rank": "best_effort", "shards": 16, "runtime_s": 300.0}),
+    );
+    crew.run(10.0);
+    assert_eq!(
+        (tasks_placed(&crew, saving), tasks_placed(&crew, plain)),
+        (16, 16)
+    );
+    let mut hasty = service(3, 4);
+    hasty["jobclass"] = json!("web");
+    let hasty = crew.submit(&hasty);
+    crew.run(0.3);
+    let left = (tasks_placed(&crew, saving), tasks_placed(&crew, plain));
+    assert_eq!(left, (16, 8), "two leave for each replica");
+    crew.run(2.0);
+    assert_eq!(tasks_placed(&crew, hasty), 4);
+}
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -11,7 +11,7 @@
 
 use copperfield::service::Service;
 use copperfield::settings::{Settings, Tuning};
-use copperfield::transport::client::{Answer, CallError, Exchange, Network};
+use copperfield::transport::client::{Answer, CallError, Exchange, Network, within};
 use copperfield::transport::server::Incoming;
 use hyper::Method;
 use rand::rngs::StdRng;
@@ -28,6 +28,9 @@
     state: StateService,
     services: Vec<Option<Service>>,
     alive: Vec<Arc<AtomicBool>>,
+    /// Nodes that stand still: nothing they read reaches them and nothing they
+    /// have decided leaves, until they go on with both.
+    frozen: BTreeSet<String>,
     /// Pairs that cannot reach each other; packets are held until they can.
     cuts: BTreeSet<(String, String)>,
     /// Share of answers that are lost.
@@ -101,6 +104,8 @@
                 std::future::pending::<()>().await;
             }
             let target = place(to);
+            // Decided, but not sent: here control is lost between the two.
+            thaw(&self.world, &self.me).await;
             let (cut, pooled) = {
                 let mut w = self.world.lock().unwrap();
                 (w.blocked(&self.me, &target), w.rng.random_bool(0.5))
@@ -119,18 +124,28 @@
                 path,
                 body,
             ));
-            let result = timeout(deadline, carried).await;
+            let result = within(deadline, async {
+                let lost = |_| Err(CallError::Unknown("lost".into()));
+                let result = carried.await.unwrap_or_else(lost);
+                thaw(&self.world, &self.me).await;
+                result
+            });
+            let result = result.await;
+            thaw(&self.world, &self.me).await;
             if !self.alive.load(Ordering::Relaxed) {
                 std::future::pending::<()>().await;
             }
-            match result {
-                Ok(Ok(result)) => result,
-                _ => Err(CallError::Unknown("deadline passed".into())),
-            }
+            result
         })
     }
 }
 
+async fn thaw(world: &Shared2, node: &str) {
+    while world.lock().unwrap().frozen.contains(node) {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 async fn pass(world: &Shared2, from: &str, to: &str) {
     let delay = world.lock().unwrap().delay();
     sleep(delay).await;
@@ -218,6 +233,7 @@
             return Err(CallError::Unsent);
         };
         let alive = world.lock().unwrap().alive[number].clone();
+        thaw(&world, &to).await;
         let request = Incoming {
             method,
             path,
@@ -229,6 +245,7 @@
         } else {
             service.public(request).await
         };
+        thaw(&world, &to).await;
         if !alive.load(Ordering::Relaxed) {
             return Err(CallError::Unknown("reset".into()));
         }
@@ -477,6 +494,7 @@
 enum Fault {
     Kill(usize),
     KillAll,
+    Freeze(usize, f64),
     Outage(f64),
     Hang(usize, f64),
     /// From a node to a place, or "*" for everything.
@@ -516,6 +534,7 @@
             state: StateService::default(),
             services: vec![None; NODES],
             alive: vec![Arc::default(); NODES],
+            frozen: BTreeSet::new(),
             cuts: BTreeSet::new(),
             loss,
             rng: StdRng::seed_from_u64(seed),
@@ -595,6 +614,11 @@
             again(3.0).await;
             (0..NODES).for_each(|i| boot(&world, i, seed + at as u64));
         }
+        Fault::Freeze(i, s) => {
+            world.lock().unwrap().frozen.insert(node_name(i));
+            again(s).await;
+            world.lock().unwrap().frozen.remove(&node_name(i));
+        }
         Fault::Outage(s) => {
             world.lock().unwrap().state.outage = true;
             again(s).await;
@@ -710,6 +734,44 @@
     expect_clean("machines", 40..44, &faults, 0.005);
 }
 
+/// Shorter than a leader's word lasts, about as long, longer, and much longer;
+/// whichever node leads is among them.
+#[test]
+fn nodes_stand_still_while_their_clocks_run() {
+    let faults = [
+        (6.0, Fault::Freeze(0, 0.6)),
+        (8.0, Fault::Freeze(1, 1.4)),
+        (11.0, Fault::Freeze(2, 1.7)),
+        (14.0, Fault::Freeze(0, 1.4)),
+        (18.0, Fault::Freeze(1, 3.0)),
+        (24.0, Fault::Freeze(2, 6.0)),
+        (32.0, Fault::Freeze(0, 25.0)),
+        (60.0, Fault::Freeze(1, 14.0)),
+    ];
+    expect_clean("freezes", 50..56, &faults, 0.002);
+}
+
+/// All at once, over an outage, and beside crashes and cuts.
+#[test]
+fn nodes_stand_still_over_an_outage_and_beside_other_troubles() {
+    let faults = [
+        (10.0, Fault::Outage(8.0)),
+        (11.0, Fault::Freeze(0, 3.0)),
+        (13.0, Fault::Freeze(1, 1.2)),
+        (14.0, Fault::Freeze(2, 9.0)),
+        (28.0, Fault::Cut(0, "state", 8.0)),
+        (29.0, Fault::Freeze(1, 5.0)),
+        (30.0, Fault::CutMachine(2, 14.0)),
+        (42.0, Fault::Freeze(0, 4.0)),
+        (42.0, Fault::Freeze(1, 4.5)),
+        (42.0, Fault::Freeze(2, 5.0)),
+        (55.0, Fault::Kill(1)),
+        (55.5, Fault::Freeze(0, 1.4)),
+        (57.0, Fault::Freeze(2, 12.0)),
+    ];
+    expect_clean("freezes and more", 60..66, &faults, 0.002);
+}
+
 #[test]
 fn a_day_repeats_exactly() {
     let faults = [(10.0, Fault::Kill(0)), (20.0, Fault::Outage(5.0))];
