--- a/examples/site.rs
+++ b/examples/site.rs
@@ -19,6 +19,8 @@
 use tokio::time::sleep;
 
 const NODES: u16 = 3;
+/// Connections that each of these takes.
+const MOST: usize = 1000;
 const STATE: u16 = 17379;
 const CLOUD: u16 = 17443;
 const PUBLIC: u16 = 17080;
@@ -147,7 +149,7 @@
                     println!("machine {name} is up");
                     due.insert(name.clone(), (now, 0));
                     let (world, served) = (world.clone(), name.clone());
-                    tokio::spawn(serve(loopback(worker_port(&name)), move |request| {
+                    tokio::spawn(serve(loopback(worker_port(&name)), MOST, move |request| {
                         worker(world.clone(), served.clone(), request)
                     }));
                 }
@@ -229,8 +231,8 @@
     );
     let (for_state, for_cloud) = (world.clone(), world.clone());
     tokio::select! {
-        result = serve(loopback(STATE), move |r| state(for_state.clone(), r)) => result,
-        result = serve(loopback(CLOUD), move |r| cloud(for_cloud.clone(), r)) => result,
+        result = serve(loopback(STATE), MOST, move |r| state(for_state.clone(), r)) => result,
+        result = serve(loopback(CLOUD), MOST, move |r| cloud(for_cloud.clone(), r)) => result,
         () = live(world) => Ok(()),
     }
 }
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -194,6 +194,8 @@
     pub(super) unknown_machines: bool,
     next_batch: Time,
     next_second: Time,
+    /// How long replicas may be away for moves, in seconds.
+    pub(super) move_credit: f64,
     /// No earlier leader's start can be anywhere unknown any more.
     settled: bool,
     chunk_tasks: u32,
@@ -256,6 +258,7 @@
             unknown_machines: false,
             next_batch: now,
             next_second: now,
+            move_credit: 0.0,
             settled: false,
         };
         core.types.update(types);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -12,6 +12,8 @@
 const NO_CAPACITY_S: f64 = 20.0;
 const LIST_EVERY_S: f64 = 3.0;
 const TYPES_EVERY_S: f64 = 20.0;
+/// From the first question that was not answered until a second one was not.
+const ASKED_AGAIN_S: f64 = 1.6;
 /// Boot times are between half and one and a half of what is usual.
 const BOOT_SPREAD: f64 = 1.6;
 /// So much longer than that is waited for a machine before it is given back.
@@ -442,14 +444,18 @@
     /// have: most are spot machines that were taken. Returning them proves that
     /// nothing is there, and what they hold back starts seconds earlier.
     pub(super) fn give_up_unheard(&mut self, unheard: &[u32]) {
-        let patience = self.config.cluster.workers.report_s * 1.25 + 0.5;
         let few = 1 + self.machines.iter().count() / 20;
-        if unheard.len() > few || self.now - self.elected_at < patience {
+        if unheard.len() > few {
             return;
         }
         let since = Some(self.elected_at + 0.5);
         for &m in unheard {
-            if !self.machines[m].returning && self.zone_is_heard(m, since) {
+            let machine = &self.machines[m];
+            // Asked once a second: by then two questions have gone unanswered.
+            let asked_twice = machine
+                .unanswered_at
+                .is_some_and(|t| self.now - t > ASKED_AGAIN_S);
+            if asked_twice && !machine.returning && self.zone_is_heard(m, since) {
                 tracing::warn!(
                     machine = self.machines[m].name,
                     "never heard by this leader: returned"
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -12,9 +12,15 @@
 
 /// A start counts as one only if the task is left alone for half a minute.
 const SETTLED_S: f64 = 35.0;
-/// Machines freed in a second: on a small site, and for each machine of a large one.
-const LEAST_A_SECOND: usize = 1;
-const PER_MACHINE: f64 = 0.005;
+/// The share of all replicas that may be away for a move, and how many on a small
+/// site. Eighty moves in half a minute once cost more replica time than losing the
+/// leader did; moving only to where the image is left gangs without machines.
+const AWAY: f64 = 0.0015;
+const LEAST_AWAY: f64 = 0.5;
+/// How long a move takes beside the fetch.
+const MOVE_S: f64 = 1.0;
+/// For how many seconds what is not used may be saved up.
+const SAVED_S: f64 = 5.0;
 
 struct Move {
     key: CopyKey,
@@ -25,8 +31,11 @@
 impl Core {
     /// Once a second: frees machines for the whole-machine tasks that wait.
     pub(super) fn move_replicas(&mut self) {
-        let machines = self.machines.iter().count() as f64;
-        let mut budget = LEAST_A_SECOND.max((machines * PER_MACHINE) as usize);
+        let services = self.jobs.iter().filter(|(_, j)| j.is_service());
+        let replicas: u32 = services.map(|(_, j)| j.active).sum();
+        let away = LEAST_AWAY.max(f64::from(replicas) * AWAY);
+        // In seconds that replicas are away.
+        self.move_credit = (self.move_credit + away).min(away * SAVED_S);
         for s in 0..self.shapes.len() as u32 {
             let mut wanted = self.missing_machines(s);
             if wanted == 0 {
@@ -40,12 +49,11 @@
                 .collect();
             held.sort_unstable();
             for (_, m) in held {
-                if wanted == 0 || budget == 0 {
+                if wanted == 0 || self.move_credit <= 0.0 {
                     break;
                 }
                 if self.free_of_replicas(s, m) {
                     wanted -= 1;
-                    budget -= 1;
                 }
             }
         }
@@ -124,6 +132,7 @@
                 to = self.machines[to].name,
                 "replica moves off a whole machine"
             );
+            self.move_credit -= MOVE_S + self.fetch_s(key.job, to);
             self.stop_for(key.job, to, &victims);
             self.stop_copy(m, key, 0.0);
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -121,11 +121,18 @@
 async fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
     let public = settings.public_addr;
     let peers = settings.peer_bind;
+    // The rest is for what the node calls itself: the workers, above all.
+    let most = settings.cluster.limits.max_sockets;
+    let (for_public, for_peers) = (most * 6 / 10, most / 20);
     let network = Arc::new(Http::default());
     let (service, owner) = Service::start(settings, tuning, network, rand::random());
     let for_users = service.clone();
-    let public = serve(public, move |request| for_users.clone().public(request));
-    let peers = serve(peers, move |request| service.clone().peer(request));
+    let public = serve(public, for_public, move |request| {
+        for_users.clone().public(request)
+    });
+    let peers = serve(peers, for_peers, move |request| {
+        service.clone().peer(request)
+    });
     // Whichever of these ends, the process is of no use any more.
     tokio::select! {
         result = public => result,
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -3,9 +3,17 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::server::conn::http1;
+use hyper::service::{Service, service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
 use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::time::{sleep, timeout};
 use warp::http::{Method, Response, StatusCode};
 use warp::path::FullPath;
 use warp::{Filter, Rejection};
@@ -66,8 +74,17 @@
     }
 }
 
-/// Serves `handler` on an address until the process ends.
-pub async fn serve<H, F>(address: SocketAddr, handler: H) -> std::io::Result<()>
+/// A client that sends nothing for so long on an open connection is hung up on:
+/// workers and users who are well come every few seconds.
+const IDLE: Duration = Duration::from_secs(60);
+/// From the head of a request to the end of its answer. Nobody waits longer than 5 s.
+const WHOLE: Duration = Duration::from_secs(10);
+
+/// Serves `handler` on an address until the process ends, on at most `most`
+/// connections. The next is left in the queue of the system, where a load balancer
+/// soon finds another node for it; without a bound, clients that stall took the
+/// sockets with which the leader reaches everyone else.
+pub async fn serve<H, F>(address: SocketAddr, most: usize, handler: H) -> std::io::Result<()>
 where
     H: Fn(Incoming) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Outgoing> + Send + 'static,
@@ -98,8 +115,38 @@
         .recover(refuse);
     // Bound here rather than by warp, so that a taken address is an error and not a panic.
     let listener = tokio::net::TcpListener::bind(address).await?;
-    warp::serve(routes).incoming(listener).run().await;
-    Ok(())
+    let service = TowerToHyperService::new(warp::service(routes));
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    let places = Arc::new(Semaphore::new(most));
+    loop {
+        let place = places.clone().acquire_owned().await;
+        let place = place.expect("never closed");
+        let Ok((stream, _)) = listener.accept().await else {
+            // No socket is free, or the client has gone already.
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let service = service.clone();
+        let answer = service_fn(move |request| {
+            let answer = service.call(request);
+            async move {
+                let slow = |_| {
+                    Ok(Outgoing::error(408, "the request took too long to arrive")
+                        .into_response()
+                        .map(Into::into))
+                };
+                timeout(WHOLE, answer).await.unwrap_or_else(slow)
+            }
+        });
+        let connection = http.serve_connection(TokioIo::new(stream), answer);
+        tokio::spawn(async move {
+            // A client that hangs up is no error of ours.
+            let _ = connection.await;
+            drop(place);
+        });
+    }
 }
 
 async fn refuse(rejection: Rejection) -> Result<Response<Bytes>, Infallible> {
@@ -114,3 +161,46 @@
     };
     Ok(Outgoing::error(status, what).into_response())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpStream;
+
+    async fn get(address: SocketAddr) -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(address).await?;
+        let request = b"GET /healthz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        stream.write_all(request).await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        Ok(answer)
+    }
+
+    /// Clients that connect and send half a request, or nothing, hold the sockets
+    /// they have and no more; once they are gone others are served.
+    #[tokio::test]
+    async fn clients_that_stall_take_no_more_than_their_share_of_sockets() {
+        let address: SocketAddr = "127.0.0.1:18651".parse().expect("valid");
+        let handler = |_| async { Outgoing::json(200, &json!({"ok": true})) };
+        let server = tokio::spawn(serve(address, 3, handler));
+        sleep(Duration::from_millis(100)).await;
+        let mut stalled = Vec::new();
+        for _ in 0..3 {
+            let mut stream = TcpStream::connect(address).await.expect("accepted");
+            stream
+                .write_all(b"POST /work HTTP/1.1\r\n")
+                .await
+                .expect("sent");
+            stalled.push(stream);
+        }
+        sleep(Duration::from_millis(100)).await;
+        let early = timeout(Duration::from_millis(300), get(address)).await;
+        assert!(early.is_err(), "the fourth waits to be accepted");
+        stalled.clear();
+        let late = timeout(Duration::from_secs(5), get(address)).await;
+        let late = late.expect("served").expect("answered");
+        assert!(late.starts_with("HTTP/1.1 200"), "{late}");
+        server.abort();
+    }
+}
