Small arrays that are alike bid as one; a batch takes a bounded number of jobs

Cause: each job of a swarm was valued on every machine, and looked for room to clear, in every batch. Done bits that wait to be stored stand in a queue instead of being looked for in all jobs at each step.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -10,11 +10,12 @@
 use crate::bookkeeping::{Snapshot, StoredJob, bitmap};
 use crate::protocol::JobId;
 use crate::protocol::cloud::{Listed, MachineType};
-use crate::protocol::job::{Amounts, JobSpec, Phase};
+use crate::protocol::job::{Amounts, JobSpec, Kind, Phase};
 use crate::protocol::peer::Lookup;
 use crate::protocol::worker::{Command, Exit, MAX_COMMANDS, Report, TaskPhase, Verb, orders_body};
 use crate::settings::{Cluster, Objective, Tuning};
 
+use super::auction::Group;
 use super::fleet::Fleet;
 use super::model::*;
 use super::roster::Roster;
@@ -26,6 +27,8 @@
 const LEASE_MARGIN_S: f64 = 0.3;
 /// How long a job's done bits may wait to be stored together.
 const PROGRESS_EVERY_S: f64 = 2.0;
+/// Arrays of so many tasks bid with those that are like them.
+const FEW_TASKS: u32 = 8;
 /// A task that has run for so long shows that its job is not mistaken.
 const RUNS_WELL_S: f64 = 10.0;
 /// Values in one transaction, under the 64 KiB that it may have.
@@ -179,6 +182,11 @@
     pub(super) gone: BTreeSet<String>,
     pub(super) fleet: Fleet,
     pub(super) shapes: Vec<Shape>,
+    alike: BTreeMap<Likeness, u32>,
+    /// Chunks of done bits that wait to be stored, the longest first.
+    progress_due: VecDeque<(u32, u32)>,
+    /// Where the last batch left off among the jobs that it had no time for.
+    pub(super) next_in_tail: usize,
     /// Jobs that ended under this leader, by number.
     over: HashMap<JobId, Phase>,
     /// Jobs to be cancelled that the watch has not shown yet.
@@ -245,6 +253,9 @@
             gone: BTreeSet::new(),
             fleet,
             shapes: Vec::new(),
+            alike: BTreeMap::new(),
+            progress_due: VecDeque::new(),
+            next_in_tail: 0,
             over: HashMap::new(),
             cancel_early: BTreeSet::new(),
             // Unique across leaders: no two have the same token.
@@ -466,6 +477,7 @@
             worthwhile_s: worthwhile_s(objectives, &spec),
             patience_s: patience_s(objectives, &spec),
             start_by: start_by(objectives, &spec, fetch_s),
+            alike: None,
             shape: None,
             attempt: None,
             proved: false,
@@ -482,6 +494,31 @@
         let ix = self.jobs.insert(job);
         self.job_ids.insert(id, ix);
         self.jobs[ix].shape = self.shape_arrived(ix);
+        self.jobs[ix].alike = self.likeness(ix);
+    }
+
+    fn likeness(&mut self, ix: u32) -> Option<u32> {
+        let job = &self.jobs[ix];
+        let spec = &job.spec;
+        let small = spec.kind == Kind::Array && spec.tasks <= FEW_TASKS && job.shape.is_none();
+        if !small || spec.one_zone || spec.spread {
+            return None;
+        }
+        let (cpu_slots, gpu_slots) = Group::sized(&spec.needs, self.config.tuning.slot_cpus);
+        let likeness = Likeness {
+            team: job.team,
+            priority: spec.priority,
+            class: spec.class.clone(),
+            image: job.image,
+            zone: job.zone,
+            types: job.types.clone(),
+            spot: spec.spot,
+            cpu_slots,
+            gpu_slots,
+            memory_step: ((spec.needs.memory.max(1) as f64).log2() * 2.0).ceil() as u32,
+        };
+        let next = self.alike.len() as u32;
+        Some(*self.alike.entry(likeness).or_insert(next))
     }
 
     fn restore_progress(&mut self, id: JobId, chunk: u32, bits: &[u8], version: u64) {
@@ -556,6 +593,10 @@
             }
         }
         tracing::info!(job = %id, phase = phase.spelling(), "job over");
+        if self.jobs[ix].entries == 0 {
+            self.free_if_over(ix);
+            return;
+        }
         self.drop_queued(ix);
         for m in self.machines.indices() {
             for key in self.copies_of(m, ix) {
@@ -635,10 +676,18 @@
             job.active -= 1;
         }
         job.done += 1;
-        job.chunk_due[(task / chunk_tasks) as usize].get_or_insert(due);
+        self.progress_due(ix, task / chunk_tasks, due);
         self.finish_if_done(ix);
     }
 
+    fn progress_due(&mut self, ix: u32, chunk: u32, at: Time) {
+        let due = &mut self.jobs[ix].chunk_due[chunk as usize];
+        if due.is_none() {
+            *due = Some(at);
+            self.progress_due.push_back((ix, chunk));
+        }
+    }
+
     fn finish_if_done(&mut self, ix: u32) {
         let job = &mut self.jobs[ix];
         if job.state == JobState::Live && job.done == job.spec.tasks {
@@ -1603,35 +1652,42 @@
         let before = batch.len();
         self.roster_writes(&mut batch, before + room, &mut bytes);
         ops += batch.len() - before;
-        let now = self.now;
         let chunk_tasks = self.chunk_tasks as usize;
-        for (_, job) in self.jobs.iter_mut() {
-            if job.state != JobState::Live {
+        while ops < most
+            && bytes <= TXN_BYTES
+            && let Some(&(ix, chunk)) = self.progress_due.front()
+        {
+            let due = self
+                .jobs
+                .get(ix)
+                .filter(|j| j.state == JobState::Live)
+                .and_then(|j| *j.chunk_due.get(chunk as usize)?);
+            if due.is_some_and(|at| at > self.now) {
+                break;
+            }
+            self.progress_due.pop_front();
+            // The job may have ended since, and its index be another's by now.
+            if due.is_none() {
                 continue;
             }
-            for chunk in 0..job.chunks.len() {
-                if ops >= most || bytes > TXN_BYTES || job.chunk_due[chunk].is_none_or(|t| t > now)
-                {
-                    continue;
-                }
-                job.chunk_due[chunk] = None;
-                let from = chunk * chunk_tasks;
-                let to = (from + chunk_tasks).min(job.tasks.len());
-                let mut bits = vec![0u8; (to - from).div_ceil(8)];
-                for (i, t) in job.tasks[from..to].iter().enumerate() {
-                    if t.done {
-                        bits[i / 8] |= 1 << (i % 8);
-                    }
+            let job = &mut self.jobs[ix];
+            job.chunk_due[chunk as usize] = None;
+            let from = chunk as usize * chunk_tasks;
+            let to = (from + chunk_tasks).min(job.tasks.len());
+            let mut bits = vec![0u8; (to - from).div_ceil(8)];
+            for (i, t) in job.tasks[from..to].iter().enumerate() {
+                if t.done {
+                    bits[i / 8] |= 1 << (i % 8);
                 }
-                ops += 1;
-                bytes += bits.len() * 2 + 200;
-                batch.push(Write::Progress {
-                    job: job.spec.id,
-                    chunk: chunk as u32,
-                    value: bitmap::to_record(&bits),
-                    version: job.chunks[chunk],
-                });
             }
+            ops += 1;
+            bytes += bits.len() * 2 + 200;
+            batch.push(Write::Progress {
+                job: job.spec.id,
+                chunk,
+                value: bitmap::to_record(&bits),
+                version: job.chunks[chunk as usize],
+            });
         }
         while ops < most
             && let Some((job, chunk, version)) = self.drop_progress.pop_front()
@@ -1712,7 +1768,7 @@
                 }
             }
         } else {
-            job.chunk_due[chunk as usize] = Some(now);
+            self.progress_due(ix, chunk, now);
         }
     }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -228,7 +228,7 @@
         } else {
             most.saturating_sub(have).min(MOST_PER_RENTAL)
         };
-        let mut order: Vec<u32> = self
+        let mut order: Vec<(f64, u32)> = self
             .jobs
             .iter()
             .filter(|(ix, j)| {
@@ -237,12 +237,14 @@
                     && !self.is_mistaken(*ix)
                     && j.unplaced_since.is_some_and(|t| now - t > 0.5)
             })
-            .map(|(ix, _)| ix)
+            .map(|(ix, _)| (self.weight(ix), ix))
             .collect();
-        order.sort_by(|&a, &b| self.weight(b).total_cmp(&self.weight(a)).then(a.cmp(&b)));
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let zones = 0..self.zones.len() as u32;
+        let dark: Vec<bool> = zones.map(|z| self.zone_is_dark(z)).collect();
         let mut room = self.booting_room();
         let mut wanted: BTreeMap<(u32, u32, bool), u32> = BTreeMap::new();
-        for ix in order {
+        for (_, ix) in order {
             let job = &self.jobs[ix];
             let needs = job.spec.needs;
             let mut left = job.waiting().min(2000).min(self.canaries(ix));
@@ -255,7 +257,7 @@
                 }
             }
             while left > 0 && allowed > 0 {
-                let Some((kind, zone, spot)) = self.cheapest_place(ix, &wanted) else {
+                let Some((kind, zone, spot)) = self.cheapest_place(ix, &wanted, &dark) else {
                     break;
                 };
                 *wanted.entry((kind, zone, spot)).or_default() += 1;
@@ -296,6 +298,7 @@
         &self,
         ix: u32,
         wanted: &BTreeMap<(u32, u32, bool), u32>,
+        dark: &[bool],
     ) -> Option<(u32, u32, bool)> {
         let job = &self.jobs[ix];
         let mut best: Option<(f64, u32, (u32, u32, bool))> = None;
@@ -311,7 +314,7 @@
                 if job.zone.is_some_and(|z| z != zone)
                     || !t.zones.iter().any(|z| z == self.zones.name(zone))
                     || !self.zone_allows(ix, zone)
-                    || self.zone_is_dark(zone)
+                    || dark[zone as usize]
                 {
                     continue;
                 }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -102,6 +102,8 @@
     pub patience_s: f64,
     /// How long after its submission it must have started for each aim, ascending.
     pub start_by: Vec<f64>,
+    /// Small arrays that are alike bid as one.
+    pub alike: Option<u32>,
     /// Of a task that takes most of a machine.
     pub shape: Option<u32>,
     /// Of a gang: the current attempt, if any copy of it may exist.
@@ -152,6 +154,22 @@
     }
 }
 
+/// What makes the tasks of small arrays similar objects of the market. Amounts are
+/// in slots and steps, since a swarm's tasks may each want a little less or more.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Likeness {
+    pub team: u32,
+    pub priority: Priority,
+    pub class: String,
+    pub image: u32,
+    pub zone: Option<u32>,
+    pub types: Option<Vec<u32>>,
+    pub spot: bool,
+    pub cpu_slots: u32,
+    pub gpu_slots: u32,
+    pub memory_step: u32,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CopyKey {
     pub job: u32,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -1,5 +1,7 @@
 //! One batch: the waiting tasks of a window, cleared by the auction.
 
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
 use crate::protocol::job::{Amounts, Kind, Priority};
 
 use super::auction::{self, Group, Lot};
@@ -17,13 +19,15 @@
 const RESCUED: f64 = 2.3;
 /// Tasks of one job in one batch; the rest wait for the next window.
 const MOST_PER_JOB: u32 = 256;
+/// Jobs, or groups of small ones that are alike, in one batch.
+const MOST_JOBS: usize = 512;
 
 impl Core {
     pub(super) fn run_batch(&mut self) {
         self.expire_claims();
         self.mark_entitled();
         self.keep_whole_machines();
-        let order = self.batch_order();
+        let order = self.this_batch(self.batch_order());
         if order.is_empty() {
             return;
         }
@@ -38,8 +42,17 @@
             }
         }
         self.run_market(&order);
+        // Where one had no room left, those like it have none.
+        let mut full = BTreeSet::new();
         for &ix in &order {
+            let alike = self.bids_as(ix);
+            if alike.is_some_and(|a| full.contains(&a)) {
+                continue;
+            }
             self.place_leftovers(ix);
+            if self.jobs[ix].waiting() > 0 {
+                full.extend(alike);
+            }
         }
         let now = self.now;
         for &ix in &order {
@@ -61,21 +74,54 @@
 
     /// Jobs with waiting tasks, the most important first.
     fn batch_order(&self) -> Vec<u32> {
-        let mut order: Vec<u32> = self
+        let mut order: Vec<(f64, u64, u32)> = self
             .jobs
             .iter()
             .filter(|(_, j)| {
                 j.state == JobState::Live && j.waiting() > 0 && j.retry_at <= self.now && !j.blocked
             })
-            .map(|(ix, _)| ix)
+            .map(|(ix, j)| (self.weight(ix), j.accepted_ms, ix))
             .collect();
-        order.sort_by(|&a, &b| {
-            self.weight(b)
-                .total_cmp(&self.weight(a))
-                .then(self.jobs[a].accepted_ms.cmp(&self.jobs[b].accepted_ms))
-                .then(a.cmp(&b))
+        order.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        order.into_iter().map(|(_, _, ix)| ix).collect()
+    }
+
+    /// As many jobs as a batch has time for. A swarm of thousands of jobs of one
+    /// task each took a batch longer than the window it was for. Those alike count
+    /// as one job; of the rest the most important are in every batch, and the
+    /// others by turns, so that none is passed over for ever.
+    fn this_batch(&mut self, order: Vec<u32>) -> Vec<u32> {
+        let mut alike: BTreeMap<u32, u32> = BTreeMap::new();
+        let mut kept = order;
+        kept.retain(|&ix| {
+            let Some(a) = self.bids_as(ix) else {
+                return true;
+            };
+            let tasks = alike.entry(a).or_default();
+            *tasks += self.jobs[ix].waiting();
+            *tasks <= MOST_PER_JOB
         });
-        order
+        if kept.len() <= MOST_JOBS {
+            return kept;
+        }
+        let tail = kept.split_off(MOST_JOBS / 2);
+        let first = self.next_in_tail % tail.len();
+        self.next_in_tail = first + MOST_JOBS / 2;
+        let turn = tail.iter().cycle().skip(first).take(MOST_JOBS / 2);
+        let mut turn: Vec<usize> = turn
+            .filter_map(|ix| tail.iter().position(|t| t == ix))
+            .collect();
+        turn.sort_unstable();
+        kept.extend(turn.into_iter().map(|at| tail[at]));
+        kept
+    }
+
+    /// With which others a job bids: none once it has failed somewhere, as it keeps
+    /// away from machines of its own.
+    pub(super) fn bids_as(&self, ix: u32) -> Option<u32> {
+        let job = &self.jobs[ix];
+        job.alike
+            .filter(|_| job.failed_on.is_empty() && !job.entitled)
     }
 
     /// The paper's π: the job's priority, and within a priority how much is
@@ -347,10 +393,17 @@
         if lots.is_empty() {
             return;
         }
-        let mut group_of = Vec::new();
-        let mut groups = Vec::new();
+        let mut group_of: Vec<VecDeque<u32>> = Vec::new();
+        let mut groups: Vec<Group> = Vec::new();
+        let mut alike: BTreeMap<u32, usize> = BTreeMap::new();
         for &ix in order {
             let job = &self.jobs[ix];
+            if let Some(&g) = self.bids_as(ix).and_then(|a| alike.get(&a)) {
+                let group = &mut groups[g];
+                group.demand = (group.demand + job.waiting()).min(MOST_PER_JOB);
+                group_of[g].push_back(ix);
+                continue;
+            }
             let demand = job.waiting().min(MOST_PER_JOB).min(self.canaries(ix));
             if demand == 0 || self.is_whole_gang(ix) {
                 continue;
@@ -387,7 +440,10 @@
                     })
                     .collect()
             });
-            group_of.push(ix);
+            if let Some(a) = self.bids_as(ix) {
+                alike.insert(a, groups.len());
+            }
+            group_of.push(VecDeque::from([ix]));
             groups.push(Group {
                 demand,
                 cpu_slots,
@@ -402,7 +458,11 @@
             tracing::debug!(bids = outcome.bids, groups = groups.len(), "auction capped");
         }
         for award in awards {
-            self.start_one(group_of[award.group as usize], lot_of[award.lot as usize]);
+            let members = &mut group_of[award.group as usize];
+            while members.len() > 1 && self.jobs[members[0]].waiting() == 0 {
+                members.pop_front();
+            }
+            self.start_one(members[0], lot_of[award.lot as usize]);
         }
     }
 
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -4,6 +4,8 @@
 //! were ordered, or waits for work of equal priority to end by itself: work
 //! never preempts work of equal or higher priority.
 
+use std::collections::BTreeSet;
+
 use crate::protocol::job::Amounts;
 
 use super::core::Core;
@@ -66,8 +68,11 @@
     /// Starts what room was kept for, as soon as the room is there.
     pub(super) fn serve_claims(&mut self, order: &[u32]) {
         self.hand_claims_on(order);
+        let machines = self.machines.indices();
+        let claims = machines.iter().flat_map(|&m| &self.machines[m].claims);
+        let with_claims: BTreeSet<u32> = claims.map(|c| c.job).collect();
         for &ix in order {
-            if self.is_whole_gang(ix) {
+            if self.is_whole_gang(ix) || !with_claims.contains(&ix) {
                 continue;
             }
             for m in self.machines.indices() {
@@ -128,11 +133,17 @@
     pub(super) fn make_room(&mut self, order: &[u32]) {
         let machines = self.machines.iter().count() as f64;
         let mut budget = LEAST_PER_BATCH.max((machines * PER_MACHINE) as u32);
+        // Of those alike that no room can be made for, one is enough to find out.
+        let mut tried = BTreeSet::new();
         for &ix in order {
-            if self.is_mistaken(ix) {
-                // Good work is not stopped for one that fails everywhere.
+            let alike = self.bids_as(ix);
+            if self.is_mistaken(ix) || alike.is_some_and(|a| tried.contains(&a)) {
+                // Good work is not stopped for a job that fails everywhere.
                 continue;
             }
+            if budget == 0 {
+                break;
+            }
             let job = &self.jobs[ix];
             let mut missing = job
                 .waiting()
@@ -152,6 +163,9 @@
             {
                 missing -= 1;
             }
+            if missing > 0 {
+                tried.extend(alike);
+            }
         }
     }
 
