--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -410,3 +410,25 @@
     crew.run(2.0);
     assert_eq!(tasks_placed(&crew, hasty), 4);
 }
+
+/// Every job of a swarm was valued on every machine in every batch: thousands of
+/// jobs of one task each took longer than the window a batch is for. What is
+/// compared here differed by a factor of 200 then.
+#[test]
+fn a_swarm_of_small_jobs_costs_a_batch_little() {
+    let play = |swarm: u64| {
+        let mut crew = site(&[("a", "small", 60), ("b", "small", 60)]);
+        crew.submit(&json!({"uid": "wk-000001", "shards": 600, "runtime_s": 500.0}));
+        for id in 0..swarm {
+            let cpus = 0.2 + 0.1 * (id % 3) as f64;
+            crew.submit(
+                &json!({"uid": format!("wk-{:06}", 1000 + id), "rank": "best_effort",
+                "cpus": cpus, "runtime_s": 3.0}),
+            );
+        }
+        crew.run(10.0);
+        crew.steps.iter().sum::<f64>()
+    };
+    let (alone, beside) = (play(0), play(1500));
+    assert!(beside < 20.0 * alone, "{beside} s beside {alone} s");
+}
