--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -15,12 +15,12 @@
 /// The share of all replicas that may be away for a move, and how many on a small
 /// site. Eighty moves in half a minute once cost more replica time than losing the
 /// leader did; moving only to where the image is left gangs without machines.
-const AWAY: f64 = 0.0015;
+const AWAY: f64 = 0.002;
 const LEAST_AWAY: f64 = 0.5;
 /// How long a move takes beside the fetch.
 const MOVE_S: f64 = 1.0;
 /// For how many seconds what is not used may be saved up.
-const SAVED_S: f64 = 5.0;
+const SAVED_S: f64 = 30.0;
 
 struct Move {
     key: CopyKey,
