--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -14,6 +14,7 @@
 //! races with the move, it finds one of the two.
 
 pub mod bitmap;
+pub mod recovery;
 pub mod store;
 pub mod writer;
 
--- /dev/null
+++ b/src/bookkeeping/recovery.rs
@@ -0,0 +1,127 @@
+//! What a new leader reads before it leads, and the jobs that are stored since.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::store::{Store, StoreError};
+use super::{
+    JOBS, MachineRecord, PROGRESS, ROSTER, RosterPage, Snapshot, StoredJob, bitmap,
+    parse_job_record,
+};
+use crate::coordination::core::Input;
+use crate::node::{Command, Handle};
+use crate::protocol::JobId;
+use crate::shared::{Shared, unix_ms};
+
+/// Reads what earlier leaders have stored, then follows new jobs.
+pub async fn recover(shared: Arc<Shared>, handle: Handle, token: u64) {
+    let (snapshot, revision) = loop {
+        if !shared.leads(token) {
+            return;
+        }
+        match read_snapshot(&shared.store).await {
+            Ok(found) => break found,
+            Err(error) => {
+                tracing::info!(%error, "cannot read the stored state yet");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    };
+    handle.send(Command::Recovered { token, snapshot }).await;
+    follow_jobs(shared, handle, token, revision).await;
+}
+
+async fn read_snapshot(store: &Store) -> Result<(Snapshot, u64), StoreError> {
+    let mut snapshot = Snapshot::default();
+    let (pages, _) = store.list(ROSTER).await?;
+    for item in pages {
+        let Ok(page) = item.key[ROSTER.len()..].parse::<u16>() else {
+            tracing::error!(key = item.key, "not a page of the roster");
+            continue;
+        };
+        // Never dropped: the core then holds back what machines unknown to it may hold.
+        let machines = serde_json::from_value::<BTreeMap<String, MachineRecord>>(item.value)
+            .inspect_err(|error| tracing::error!(page, %error, "roster page does not parse"));
+        snapshot.roster.push(RosterPage {
+            page: page.into(),
+            version: item.version,
+            machines: machines.ok().map(|m| m.into_iter().collect()),
+        });
+    }
+    let (progress, _) = store.list(PROGRESS).await?;
+    for item in progress {
+        let parsed = item.key[PROGRESS.len()..]
+            .split_once('/')
+            .and_then(|(job, chunk)| {
+                Some((
+                    JobId::parse(job)?,
+                    chunk.parse().ok()?,
+                    bitmap::from_record(&item.value)?,
+                ))
+            });
+        match parsed {
+            Some((job, chunk, bits)) => snapshot.progress.push((job, chunk, bits, item.version)),
+            None => tracing::error!(key = item.key, "progress record does not parse"),
+        }
+    }
+    let (jobs, revision) = store.list(JOBS).await?;
+    for item in jobs {
+        snapshot
+            .jobs
+            .extend(stored_job(&item.key, &item.value, item.version));
+    }
+    Ok((snapshot, revision))
+}
+
+fn stored_job(key: &str, value: &serde_json::Value, version: u64) -> Option<StoredJob> {
+    match parse_job_record(value) {
+        Ok((spec, accepted_ms)) => Some(StoredJob {
+            spec,
+            age_s: unix_ms().saturating_sub(accepted_ms) as f64 / 1000.0,
+            accepted_ms,
+            version,
+        }),
+        // Never dropped: whoever can read it may still run it.
+        Err(error) => {
+            tracing::error!(key, error, "job record does not parse");
+            None
+        }
+    }
+}
+
+async fn follow_jobs(shared: Arc<Shared>, handle: Handle, token: u64, mut since: u64) {
+    let block = Duration::from_secs(2);
+    while shared.leads(token) {
+        match shared.store.watch(JOBS, since, block).await {
+            Ok(changes) => {
+                since = since.max(changes.revision);
+                for event in changes.events {
+                    let Some(key) = event.put else { continue };
+                    if let Some(job) = stored_job(&key, &event.value, event.version) {
+                        let input = Input::Job(job);
+                        handle.send(Command::Input { token, input }).await;
+                    }
+                }
+                // A burst comes in a few answers rather than one for each job.
+                tokio::time::sleep(Duration::from_millis(15)).await;
+            }
+            Err(StoreError::TooOld) => match shared.store.list(JOBS).await {
+                Ok((items, revision)) => {
+                    since = revision;
+                    for item in items {
+                        if let Some(job) = stored_job(&item.key, &item.value, item.version) {
+                            let input = Input::Job(job);
+                            handle.send(Command::Input { token, input }).await;
+                        }
+                    }
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(300)).await,
+            },
+            Err(error) => {
+                tracing::debug!(%error, "watch failed");
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+        }
+    }
+}
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -19,9 +19,10 @@
 
 use crate::bookkeeping::store::{StoreError, call_peer, put};
 use crate::bookkeeping::{FOUNDED, LEADER};
-use crate::node::{Command, Handle, Shared};
+use crate::node::{Command, Handle};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Transaction};
+use crate::shared::Shared;
 use crate::transport::budget::Urgency;
 
 /// Kept back from the TTL for clock drift and for what is already on its way out.
--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -138,7 +138,7 @@
             if !due {
                 continue;
             }
-            if batch.len() >= most || *bytes > super::core::TXN_BYTES {
+            if batch.len() >= most || *bytes > super::storing::TXN_BYTES {
                 break;
             }
             let value = self.page_value(page);
--- /dev/null
+++ b/src/errands.rs
@@ -0,0 +1,240 @@
+//! What the core asks for and cannot do itself: talking to workers, the cloud and
+//! the state service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+
+use crate::bookkeeping::writer::{self, WriteError};
+use crate::coordination::core::{DirectOutcome, Effect, Input, RentOutcome};
+use crate::node::{Command, Handle};
+use crate::protocol::cloud::{self, MachineType};
+use crate::protocol::job::Phase;
+use crate::protocol::worker::{Report, orders_body};
+use crate::shared::Shared;
+use crate::transport::budget::Urgency;
+use crate::transport::client::{Answer, CallError};
+
+const DIRECT_DEADLINE: Duration = Duration::from_millis(1500);
+const INSPECT_DEADLINE: Duration = Duration::from_millis(500);
+const CLOUD_DEADLINE: Duration = Duration::from_secs(3);
+
+/// Does what the core cannot: talks to workers, the cloud and the state service.
+pub async fn perform(
+    shared: &Arc<Shared>,
+    handle: &Handle,
+    token: u64,
+    effect: Effect,
+) -> Option<Input> {
+    match effect {
+        Effect::Direct {
+            machine,
+            address,
+            session,
+            flight,
+            commands,
+        } => {
+            let body = orders_body(token, Some(session), &commands);
+            let outcome = match address.parse() {
+                Ok(to) if shared.is_valid() => {
+                    send_direct(shared, Method::POST, to, "/orders", body).await
+                }
+                _ => DirectOutcome::Unsent,
+            };
+            Some(Input::Direct {
+                machine,
+                flight,
+                outcome,
+            })
+        }
+        Effect::Inspect {
+            machine,
+            address,
+            flight,
+        } => {
+            let outcome = match address.parse() {
+                Ok(to) => {
+                    let asked = send_direct(shared, Method::GET, to, "/inspect", Vec::new());
+                    match tokio::time::timeout(INSPECT_DEADLINE, asked).await {
+                        Ok(DirectOutcome::Executed(report)) => {
+                            DirectOutcome::Rejected(Some(report))
+                        }
+                        _ => DirectOutcome::Unsent,
+                    }
+                }
+                Err(_) => DirectOutcome::Unsent,
+            };
+            Some(Input::Direct {
+                machine,
+                flight,
+                outcome,
+            })
+        }
+        Effect::Write(batch) => {
+            let alive = shared.clone();
+            let wanted = move || alive.leads(token);
+            match writer::write(shared.store.clone(), token, batch, wanted).await {
+                Ok(results) => {
+                    for (write, written) in &results {
+                        let phase = match (write, written) {
+                            (writer::Write::Finish { .. }, writer::Written::Stored { .. }) => {
+                                Phase::Done
+                            }
+                            (writer::Write::Finish { .. }, writer::Written::Ended(phase)) => *phase,
+                            _ => continue,
+                        };
+                        if let writer::Write::Finish { job, .. } = write {
+                            handle.send(Command::Ended { job: *job, phase }).await;
+                        }
+                    }
+                    Some(Input::Written(results))
+                }
+                Err(WriteError::Deposed) => {
+                    tracing::warn!(token, "the leader key has moved on");
+                    shared.step_down(token);
+                    None
+                }
+            }
+        }
+        Effect::Rent {
+            request,
+            machine_type,
+            zone,
+            spot,
+            count,
+        } => {
+            let body = cloud::rental_body(&request, &machine_type, &zone, spot, count).to_string();
+            let outcome = rent(shared, body.into_bytes()).await;
+            Some(Input::Rented { request, outcome })
+        }
+        Effect::Return(machines) => {
+            let body = cloud::return_body(&machines).to_string().into_bytes();
+            shared.cloud_budget.spend(1.0, Urgency::High).await;
+            // A leader that stood still meanwhile would return what the next one uses.
+            let ok = shared.is_valid()
+                && matches!(
+                    cloud_call(shared, Method::POST, "/rentals/return", body).await,
+                    Ok(answer) if answer.status == 200
+                );
+            Some(Input::Returned { machines, ok })
+        }
+        Effect::List => list_machines(shared).await.map(Input::Listed),
+        Effect::ReadTypes => {
+            if let Some(types) = read_types(shared).await {
+                handle.send(Command::Types(types)).await;
+            }
+            None
+        }
+        _ => None,
+    }
+}
+
+async fn send_direct(
+    shared: &Shared,
+    method: Method,
+    to: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+) -> DirectOutcome {
+    let answer = match shared
+        .http
+        .call(method, to, path, body, DIRECT_DEADLINE)
+        .await
+    {
+        Ok(answer) => answer,
+        Err(CallError::Unsent) => return DirectOutcome::Unsent,
+        Err(CallError::Unknown(_)) => return DirectOutcome::Unknown,
+    };
+    match (answer.status, Report::parse(&answer.body)) {
+        (200, Ok(report)) => DirectOutcome::Executed(report),
+        (409, report) => DirectOutcome::Rejected(report.ok()),
+        (400, _) => DirectOutcome::Rejected(None),
+        _ => DirectOutcome::Unknown,
+    }
+}
+
+async fn cloud_call(
+    shared: &Shared,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<Answer, CallError> {
+    let to = shared.settings.external.cloud;
+    shared
+        .http
+        .call(method, to, path, body, CLOUD_DEADLINE)
+        .await
+}
+
+/// The same request name gives the same answer and rents nothing twice, so a
+/// lost answer is asked for again.
+async fn rent(shared: &Shared, body: Vec<u8>) -> RentOutcome {
+    for _ in 0..3 {
+        shared.cloud_budget.spend(1.0, Urgency::Normal).await;
+        if !shared.is_valid() {
+            return RentOutcome::Unknown;
+        }
+        match cloud_call(shared, Method::POST, "/rentals", body.clone()).await {
+            Ok(answer) if answer.status == 200 => {
+                if let Ok(machines) = cloud::parse_rented(&answer.body) {
+                    return RentOutcome::Machines(machines);
+                }
+            }
+            Ok(answer) if answer.status == 503 => {
+                let full = answer.body.windows(11).any(|w| w == b"no capacity");
+                return if full {
+                    RentOutcome::NoCapacity
+                } else {
+                    RentOutcome::Refused
+                };
+            }
+            Ok(answer) => {
+                tracing::warn!(status = answer.status, "the cloud refuses a rental");
+                return RentOutcome::Refused;
+            }
+            Err(CallError::Unsent) => return RentOutcome::Refused,
+            Err(CallError::Unknown(_)) => {}
+        }
+    }
+    RentOutcome::Unknown
+}
+
+async fn list_machines(shared: &Shared) -> Option<Vec<cloud::Listed>> {
+    let mut all: Vec<cloud::Listed> = Vec::new();
+    loop {
+        shared.cloud_budget.spend(1.0, Urgency::Low).await;
+        let path = match all.last() {
+            Some(last) => format!("/rentals?since={}&page=500", last.name),
+            None => "/rentals?page=500".to_string(),
+        };
+        let answer = cloud_call(shared, Method::GET, &path, Vec::new())
+            .await
+            .ok()?;
+        if answer.status != 200 {
+            return None;
+        }
+        let (hosts, more) = cloud::parse_list(&answer.body)
+            .inspect_err(|error| tracing::warn!(%error, "machine list does not parse"))
+            .ok()?;
+        let empty = hosts.is_empty();
+        all.extend(hosts);
+        if !more || empty {
+            return Some(all);
+        }
+    }
+}
+
+pub async fn read_types(shared: &Shared) -> Option<Vec<MachineType>> {
+    shared.cloud_budget.spend(1.0, Urgency::Normal).await;
+    let answer = cloud_call(shared, Method::GET, "/machine_types", Vec::new())
+        .await
+        .ok()?;
+    if answer.status != 200 {
+        return None;
+    }
+    cloud::parse_types(&answer.body)
+        .inspect_err(|error| tracing::warn!(%error, "machine types do not parse"))
+        .ok()
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -14,7 +14,7 @@
 use crate::bookkeeping::{LEADER, job_key, job_record, terminal_key, terminal_record};
 use crate::coordination::core::CancelBegin;
 use crate::coordination::election;
-use crate::node::{Command, Handle, Owner, Shared, unix_ms};
+use crate::node::{Command, Handle, Owner};
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{JobSpec, Kind, Phase, Priority};
@@ -22,6 +22,7 @@
 use crate::protocol::state::{Change, Transaction};
 use crate::protocol::worker::Report;
 use crate::settings::{Settings, Tuning};
+use crate::shared::{Shared, unix_ms};
 use crate::transport::budget::Urgency;
 use crate::transport::client::Network;
 use crate::transport::server::{Incoming, Outgoing};
@@ -538,7 +539,7 @@
         let mut pause = Duration::from_millis(250);
         let began = Instant::now();
         loop {
-            if let Some(types) = crate::node::read_types(&self.shared).await {
+            if let Some(types) = crate::errands::read_types(&self.shared).await {
                 tracing::debug!(after = ?began.elapsed(), "machine types known");
                 self.handle.send(Command::Types(types)).await;
                 // Types may be added; prices matter to the leader alone, which asks more often.
