A new session has a lease of its own; users give their places up in a crowd

Ruled out: the frozen leader's late orders. Test: the_lease_of_a_new_session_is_its_own, seen to fail without the remedy.

--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -210,6 +210,9 @@
                 );
             }
             machine.synced = false;
+            // Its lease runs from when it began, which is before now. Held to the lease of
+            // the session before, what was started in it was once thought gone at once.
+            machine.answered_at = Some(self.now);
             self.clear_machine(m);
         }
         let now = self.now;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -80,6 +80,10 @@
 /// From the head of a request to the end of its answer. Nobody waits longer than 5 s.
 const WHOLE: Duration = Duration::from_secs(10);
 
+/// With less than this part of the places left, users get no second answer on their
+/// connection: idle ones once kept the reports of workers out for a whole lease.
+const SPARE: usize = 4;
+
 /// Serves `handler` on an address until the process ends, on at most `most`
 /// connections. The next is left in the queue of the system, where a load balancer
 /// soon finds another node for it; without a bound, clients that stall took the
@@ -129,15 +133,25 @@
         };
         let _ = stream.set_nodelay(true);
         let service = service.clone();
-        let answer = service_fn(move |request| {
+        let crowd = places.clone();
+        let answer = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+            let of_user = request.uri().path().starts_with("/work");
             let answer = service.call(request);
+            let crowd = crowd.clone();
             async move {
                 let slow = |_| {
-                    Ok(Outgoing::error(408, "the request took too long to arrive")
-                        .into_response()
-                        .map(Into::into))
+                    let what = "the request took too long to arrive";
+                    Ok(Outgoing::error(408, what).into_response().map(Into::into))
                 };
-                timeout(WHOLE, answer).await.unwrap_or_else(slow)
+                let mut answer = timeout(WHOLE, answer).await.unwrap_or_else(slow);
+                if let Ok(answer) = &mut answer
+                    && of_user
+                    && crowd.available_permits() < most / SPARE
+                {
+                    let close = warp::http::HeaderValue::from_static("close");
+                    answer.headers_mut().insert("connection", close);
+                }
+                answer
             }
         });
         let connection = http.serve_connection(TokioIo::new(stream), answer);
--- a/standins/crew.rs
+++ b/standins/crew.rs
@@ -38,6 +38,8 @@
     pub now: f64,
     /// Workers that neither hear nor are heard.
     pub silent: BTreeSet<String>,
+    /// Workers whose reports do not arrive, though they can be reached.
+    pub unheard: BTreeSet<String>,
     /// Workers that fail every task.
     pub sick: BTreeSet<String>,
     /// Jobs that fail on every machine.
@@ -86,6 +88,7 @@
             core: Core::new(config, token, 0.0, types, snapshot),
             now: 0.0,
             silent: BTreeSet::new(),
+            unheard: BTreeSet::new(),
             sick: BTreeSet::new(),
             mistaken: BTreeSet::new(),
             stock: 0,
@@ -169,6 +172,15 @@
         }
     }
 
+    /// A worker's lease runs out. It counts from when the last answered report was
+    /// sent, which may be seconds before the leader received it.
+    pub fn end_session(&mut self, name: &str) {
+        let w = self.workers.get_mut(name).expect("known");
+        w.session += 1;
+        w.tasks.clear();
+        w.answered_at = self.now;
+    }
+
     /// Time passes without the core, as when its process stands still.
     pub fn sleep(&mut self, seconds: f64) {
         self.now += seconds;
@@ -181,7 +193,7 @@
         for name in names {
             self.progress(&name);
             let w = &self.workers[&name];
-            if w.next_report > now || self.silent.contains(&name) {
+            if w.next_report > now || self.silent.contains(&name) || self.unheard.contains(&name) {
                 continue;
             }
             self.ticket += 1;
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -432,3 +432,23 @@
     let (alone, beside) = (play(0), play(1500));
     assert!(beside < 20.0 * alone, "{beside} s beside {alone} s");
 }
+
+/// Reports of many workers did not get through for a whole lease while the leader
+/// reached them: each began a new session, was given tasks in it, and when the
+/// lease of the session before was over those tasks were thought gone. On a day of
+/// storms 156 tasks were started twice.
+#[test]
+fn the_lease_of_a_new_session_is_its_own() {
+    let mut crew = site(&[("a", "small", 24), ("b", "small", 24)]);
+    let job = crew.submit(&service(1, 60));
+    crew.run(20.0);
+    crew.unheard = (0..24).map(|i| format!("a-small-{i}")).collect();
+    crew.run(7.0);
+    for name in crew.unheard.clone() {
+        crew.end_session(&name);
+    }
+    crew.run(8.0);
+    crew.unheard.clear();
+    crew.run(20.0);
+    assert_eq!(tasks_placed(&crew, job), 60);
+}
