--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -90,9 +90,8 @@
     /// task each took a batch longer than the window it was for. Those alike count
     /// as one job; of the rest the most important are in every batch, and the
     /// others by turns, so that none is passed over for ever.
-    fn this_batch(&mut self, order: Vec<u32>) -> Vec<u32> {
+    fn this_batch(&mut self, mut kept: Vec<u32>) -> Vec<u32> {
         let mut alike: BTreeMap<u32, u32> = BTreeMap::new();
-        let mut kept = order;
         kept.retain(|&ix| {
             let Some(a) = self.bids_as(ix) else {
                 return true;
@@ -107,9 +106,9 @@
         let tail = kept.split_off(MOST_JOBS / 2);
         let first = self.next_in_tail % tail.len();
         self.next_in_tail = first + MOST_JOBS / 2;
-        let turn = tail.iter().cycle().skip(first).take(MOST_JOBS / 2);
-        let mut turn: Vec<usize> = turn
-            .filter_map(|ix| tail.iter().position(|t| t == ix))
+        // The tail is longer than a turn, so none is in one twice.
+        let mut turn: Vec<usize> = (first..first + MOST_JOBS / 2)
+            .map(|at| at % tail.len())
             .collect();
         turn.sort_unstable();
         kept.extend(turn.into_iter().map(|at| tail[at]));
