--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -40,20 +40,22 @@
         }
     }
 
+    /// Stops a copy with the time to save, and a gang as a whole.
+    pub(super) fn stop_in_order(&mut self, m: u32, key: CopyKey) {
+        if self.is_whole_gang(key.job) {
+            self.stop_gang(key.job);
+        } else {
+            self.stop_copy(m, key, self.grace_of(key.job));
+        }
+    }
+
     /// The machine will be taken: what can save does so now, gangs as a whole.
     /// What cannot save runs on, and may finish before.
     pub(super) fn save_before_reclaim(&mut self, m: u32) {
         let keys: Vec<CopyKey> = self.machines[m].copies.keys().copied().collect();
         for key in keys {
-            let spec = &self.jobs[key.job].spec;
-            if spec.checkpoint_s <= 0.0 {
-                continue;
-            }
-            if self.is_whole_gang(key.job) {
-                self.stop_gang(key.job);
-            } else {
-                let grace = grace_to_save(spec.save_s);
-                self.stop_copy(m, key, grace);
+            if self.grace_of(key.job) > 0.0 {
+                self.stop_in_order(m, key);
             }
         }
     }
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -136,21 +136,22 @@
         // Of those alike that no room can be made for, one is enough to find out.
         let mut tried = BTreeSet::new();
         for &ix in order {
-            let alike = self.bids_as(ix);
-            if self.is_mistaken(ix) || alike.is_some_and(|a| tried.contains(&a)) {
-                // Good work is not stopped for a job that fails everywhere.
-                continue;
-            }
             if budget == 0 {
                 break;
             }
+            let alike = self.bids_as(ix);
+            let in_vain = alike.is_some_and(|a| tried.contains(&a));
+            // Good work is not stopped for a job that fails everywhere.
+            if in_vain || self.is_mistaken(ix) {
+                continue;
+            }
             let job = &self.jobs[ix];
             let mut missing = job
                 .waiting()
                 .min(self.canaries(ix))
                 .saturating_sub(self.claimed(ix));
             if self.is_whole_gang(ix) {
-                if missing > 0 && budget > 0 && self.make_room_for_gang(ix) {
+                if missing > 0 && self.make_room_for_gang(ix) {
                     budget -= 1;
                 }
                 continue;
@@ -298,7 +299,7 @@
     }
 
     /// The time to save that a task which is stopped gets.
-    fn grace_of(&self, ix: u32) -> f64 {
+    pub(super) fn grace_of(&self, ix: u32) -> f64 {
         let spec = &self.jobs[ix].spec;
         if spec.checkpoint_s > 0.0 {
             grace_to_save(spec.save_s)
@@ -322,11 +323,7 @@
                 machine = self.machines[m].name,
                 "preempting"
             );
-            if self.is_whole_gang(key.job) {
-                self.stop_gang(key.job);
-            } else {
-                self.stop_copy(m, *key, self.grace_of(key.job));
-            }
+            self.stop_in_order(m, *key);
         }
         self.claim(m, ix, STOP_CLAIM_S + self.grace_for(victims));
     }
