--- a/examples/site.rs
+++ b/examples/site.rs
@@ -113,7 +113,8 @@
         site.jobs.entry(job.to_string()).or_insert_with(|| Job {
             body: json!({"shape": "sweep", "cpus": 1.0, "bundle": job, "pull_gb": 0.1, "preemptibles": true, "shards": 100_000}),
             runtime_s: 5.0,
-            accepted: true,
+            accepted: Some(0.0),
+            told_at: 0.0,
             cancelled_at: None,
             done: vec![false; 100_000],
             told: None,
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -90,6 +90,16 @@
         (self.now_ms() - self.served_at.load(Ordering::Relaxed)) as f64 / 1000.0
     }
 
+    /// How long a request would wait behind those that wait already.
+    pub fn read_backlog(&self) -> Duration {
+        self.requests.backlog()
+    }
+
+    /// How long a write would wait behind those that wait already.
+    pub fn write_backlog(&self) -> Duration {
+        self.writes.backlog()
+    }
+
     pub fn is_refused(&self) -> bool {
         self.refused.load(Ordering::Relaxed)
     }
@@ -373,14 +383,19 @@
     /// What the state service says of a job: `None` if it was never accepted.
     /// `cf/j/` first, see the module above.
     pub async fn job_phase(&self, job: JobId) -> Result<Option<Phase>, StoreError> {
-        let live = self.get(&job_key(job), Urgency::Normal, true).await?;
-        let terminal = self.terminal(job).await?;
+        let urgency = Urgency::Low;
+        let live = self.get(&job_key(job), urgency, true).await?;
+        let terminal = self.terminal(job, urgency).await?;
         Ok(terminal.or(live.map(|_| Phase::Pending)))
     }
 
-    pub async fn terminal(&self, job: JobId) -> Result<Option<Phase>, StoreError> {
+    pub async fn terminal(
+        &self,
+        job: JobId,
+        urgency: Urgency,
+    ) -> Result<Option<Phase>, StoreError> {
         let key = terminal_key(job);
-        match self.get(&key, Urgency::Normal, true).await? {
+        match self.get(&key, urgency, true).await? {
             None => Ok(None),
             Some(item) => match parse_terminal(&item.value) {
                 Some(phase) => Ok(Some(phase)),
--- a/src/node.rs
+++ b/src/node.rs
@@ -260,10 +260,10 @@
         report: Report,
         reply: oneshot::Sender<Outgoing>,
     },
-    /// What is known of a job, and who is thought to lead.
+    /// What is known of each of these jobs, and who is thought to lead.
     Ask {
-        job: JobId,
-        reply: oneshot::Sender<(Lookup, Option<String>)>,
+        jobs: Vec<JobId>,
+        reply: oneshot::Sender<(Vec<Lookup>, Option<String>)>,
     },
     BeginCancel {
         job: JobId,
@@ -411,8 +411,9 @@
     fn take(&mut self, command: Command, inputs: &mut Vec<Input>) {
         match command {
             Command::Hello { report, reply } => self.take_hello(report, reply, inputs),
-            Command::Ask { job, reply } => {
-                let _ = reply.send((self.lookup(job), self.leader.clone()));
+            Command::Ask { jobs, reply } => {
+                let found = jobs.into_iter().map(|job| self.lookup(job)).collect();
+                let _ = reply.send((found, self.leader.clone()));
             }
             Command::BeginCancel { job, reply } => match &mut self.role {
                 Role::Leading(l) if self.shared.is_valid() => {
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -7,8 +7,8 @@
 
 #[derive(Debug, Clone, BorshSerialize, BorshDeserialize)]
 pub enum PeerRequest {
-    /// What the leader knows of a job.
-    Lookup(JobId),
+    /// What the leader knows of each of these jobs.
+    Lookup(Vec<JobId>),
     /// Cancel a job, asked of the leader.
     Cancel(JobId),
     /// A request to the state service on behalf of a node that it refuses.
@@ -27,6 +27,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum PeerReply {
     Job(Lookup),
+    Jobs(Vec<Lookup>),
     State {
         status: u16,
         body: Vec<u8>,
--- a/src/service.rs
+++ b/src/service.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 use warp::http::Method;
@@ -16,7 +17,7 @@
 use crate::node::{Command, Handle, Owner, Shared, unix_ms};
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::{JobSpec, Kind, Phase};
+use crate::protocol::job::{JobSpec, Kind, Phase, Priority};
 use crate::protocol::peer::{Lookup, PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Transaction};
 use crate::protocol::worker::Report;
@@ -30,6 +31,13 @@
 const POLL_DEADLINE: Duration = Duration::from_millis(1700);
 const CANCEL_DEADLINE: Duration = Duration::from_millis(2500);
 const PEER_DEADLINE: Duration = Duration::from_millis(700);
+/// Questions that wait for the leader at most, go in one message, and messages
+/// that are out at once.
+const QUESTIONS: usize = 1024;
+const QUESTIONS_A_MESSAGE: usize = 256;
+const MESSAGES_OUT: usize = 4;
+/// The state service is asked for users only while that takes no longer than this.
+const READ_BACKLOG: Duration = Duration::from_millis(500);
 /// A node that neither the state service nor a peer serves cannot take requests.
 const CUT_OFF_S: f64 = 6.0;
 
@@ -37,6 +45,14 @@
 pub struct Service {
     pub shared: Arc<Shared>,
     pub handle: Handle,
+    questions: mpsc::Sender<Question>,
+}
+
+/// What a user asks that only the leader can answer.
+struct Question {
+    job: JobId,
+    leader: String,
+    reply: oneshot::Sender<Lookup>,
 }
 
 impl Service {
@@ -50,10 +66,13 @@
     ) -> (Self, JoinHandle<()>) {
         let shared = Arc::new(Shared::new(settings, tuning, network, seed));
         let (owner, handle) = Owner::new(shared.clone());
+        let (questions, asked) = mpsc::channel(QUESTIONS);
         let service = Self {
             shared: shared.clone(),
             handle: handle.clone(),
+            questions,
         };
+        tokio::spawn(service.clone().pass_questions_on(asked));
         tokio::spawn(service.clone().learn_types());
         tokio::spawn(service.clone().watch_peers());
         tokio::spawn(election::run(shared, handle));
@@ -129,12 +148,25 @@
     }
 
     /// What this node may say of a job now, and who is thought to lead.
-    async fn ask_owner(&self, job: JobId) -> Option<(Lookup, Option<String>)> {
-        let (found, leader) = self.handle.ask(|reply| Command::Ask { job, reply }).await?;
-        match found {
-            Lookup::Live { .. } if !self.shared.is_valid() => Some((Lookup::NotLeading, leader)),
-            found => Some((found, leader)),
+    async fn ask_owner(&self, job: JobId) -> (Lookup, Option<String>) {
+        let (found, leader) = self.ask_owner_all(vec![job]).await;
+        (
+            found.into_iter().next().unwrap_or(Lookup::NotLeading),
+            leader,
+        )
+    }
+
+    async fn ask_owner_all(&self, jobs: Vec<JobId>) -> (Vec<Lookup>, Option<String>) {
+        let asked = self.handle.ask(|reply| Command::Ask { jobs, reply }).await;
+        let (mut found, leader) = asked.unwrap_or_default();
+        if !self.shared.is_valid() {
+            for f in &mut found {
+                if let Lookup::Live { .. } = f {
+                    *f = Lookup::NotLeading;
+                }
+            }
         }
+        (found, leader)
     }
 
     // ---- submissions ----
@@ -166,12 +198,26 @@
         if record.to_string().len() > limit {
             return Outgoing::error(400, "description: too large to be stored");
         }
+        // Where changes are scarce, those whom nobody waits for are told so at once,
+        // and the rest before their wait would be for nothing.
+        let urgency = match spec.priority {
+            Priority::Low => Urgency::Low,
+            _ => Urgency::Normal,
+        };
+        let backlog = self.shared.store.write_backlog();
+        let patience = match urgency {
+            Urgency::Low => Duration::from_millis(500),
+            _ => SUBMIT_DEADLINE / 2,
+        };
+        if backlog > patience {
+            return Outgoing::busy("too many changes wait", backlog.as_secs() as u32 + 1);
+        }
         let txn = Transaction {
             conditions: vec![(job_key(id), 0), (terminal_key(id), 0)],
             changes: vec![put(job_key(id), record)],
         };
         for _ in 0..2 {
-            match self.shared.store.commit(&txn, Urgency::Normal, true).await {
+            match self.shared.store.commit(&txn, urgency, true).await {
                 Ok(_) => {
                     return Outgoing::json(
                         201,
@@ -230,6 +276,10 @@
                 done,
                 running,
             } => phase_answer(id, phase, done, running),
+            // Never held up: what cannot be read soon is to be asked again.
+            _ if self.shared.store.read_backlog() > READ_BACKLOG => {
+                Outgoing::busy("too many questions wait", 2)
+            }
             _ => match self.stored_phase(id).await {
                 Ok(Some(phase)) => phase_answer(id, phase, 0, 0),
                 Ok(None) => Outgoing::error(404, "no such job"),
@@ -250,21 +300,52 @@
 
     /// What this node or the leader knows of a job.
     async fn find(&self, id: JobId) -> Lookup {
-        let Some((found, leader)) = self.ask_owner(id).await else {
-            return Lookup::AskState;
-        };
-        if found != Lookup::NotLeading {
+        let (found, leader) = self.ask_owner(id).await;
+        let (Lookup::NotLeading, Some(leader)) = (found, leader) else {
             return found;
+        };
+        let (reply, answer) = oneshot::channel();
+        let question = Question {
+            job: id,
+            leader,
+            reply,
+        };
+        // Where too much is asked the state service may still have time.
+        if self.questions.try_send(question).is_err() {
+            return Lookup::NotLeading;
         }
-        match self
-            .ask_leader(leader, PeerRequest::Lookup(id), PEER_DEADLINE)
-            .await
-        {
-            Some(PeerReply::Job(found)) => {
-                self.remember(id, found).await;
-                found
+        answer.await.unwrap_or(Lookup::NotLeading)
+    }
+
+    /// Asks the leader what users ask this node, many at a time: in a storm of
+    /// questions a message for each took the leader more than answering it. What
+    /// comes while a few messages are out waits for the next.
+    async fn pass_questions_on(self, mut queue: mpsc::Receiver<Question>) {
+        let out = Arc::new(Semaphore::new(MESSAGES_OUT));
+        loop {
+            let Ok(permit) = out.clone().acquire_owned().await else {
+                return;
+            };
+            let mut batch = Vec::new();
+            if queue.recv_many(&mut batch, QUESTIONS_A_MESSAGE).await == 0 {
+                return;
             }
-            _ => Lookup::NotLeading,
+            let this = self.clone();
+            tokio::spawn(async move {
+                let jobs = batch.iter().map(|q| q.job).collect();
+                let leader = batch.last().map(|q| q.leader.clone());
+                let asked = PeerRequest::Lookup(jobs);
+                let found = match this.ask_leader(leader, asked, PEER_DEADLINE).await {
+                    Some(PeerReply::Jobs(found)) => found,
+                    _ => Vec::new(),
+                };
+                drop(permit);
+                let unknown = std::iter::repeat(Lookup::NotLeading);
+                for (question, found) in batch.into_iter().zip(found.into_iter().chain(unknown)) {
+                    this.remember(question.job, found).await;
+                    let _ = question.reply.send(found);
+                }
+            });
         }
     }
 
@@ -299,9 +380,7 @@
     }
 
     async fn cancelled(&self, id: JobId) -> Lookup {
-        let Some((found, leader)) = self.ask_owner(id).await else {
-            return Lookup::NotLeading;
-        };
+        let (found, leader) = self.ask_owner(id).await;
         match found {
             Lookup::Terminal(_) => return found,
             Lookup::NotLeading => {}
@@ -380,7 +459,7 @@
         let unread = |_| StoreError::Refused(0);
         let live = store.get(&job_key(id), Urgency::High, true).await;
         let live = live.map_err(unread)?;
-        if let Some(phase) = store.terminal(id).await.map_err(unread)? {
+        if let Some(phase) = store.terminal(id, Urgency::High).await.map_err(unread)? {
             return Ok(Lookup::Terminal(phase));
         }
         let Some(live) = live else {
@@ -406,10 +485,7 @@
             return Outgoing::error(400, "malformed");
         };
         let reply = match message {
-            PeerRequest::Lookup(id) => {
-                let found = self.ask_owner(id).await;
-                PeerReply::Job(found.map_or(Lookup::NotLeading, |(f, _)| f))
-            }
+            PeerRequest::Lookup(jobs) => PeerReply::Jobs(self.ask_owner_all(jobs).await.0),
             PeerRequest::Cancel(id) => PeerReply::Job(
                 timeout(CANCEL_DEADLINE, self.cancel_as_leader(id))
                     .await
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -22,6 +22,8 @@
 struct Bucket {
     tokens: f64,
     at: Instant,
+    /// What is waited for, in tokens.
+    wanted: f64,
 }
 
 #[derive(Debug)]
@@ -40,6 +42,7 @@
             bucket: Mutex::new(Bucket {
                 tokens: burst,
                 at: Instant::now(),
+                wanted: 0.0,
             }),
         }
     }
@@ -68,16 +71,69 @@
     }
 
     pub async fn spend(&self, cost: f64, urgency: Urgency) {
-        while let Err(wait) = self.take(cost, urgency) {
+        let Err(mut wait) = self.take(cost, urgency) else {
+            return;
+        };
+        let _place = Place::take(self, cost);
+        loop {
             tokio::time::sleep(wait).await;
+            match self.take(cost, urgency) {
+                Ok(()) => return,
+                Err(longer) => wait = longer,
+            }
         }
     }
+
+    /// How long it takes to serve what waits already.
+    pub fn backlog(&self) -> Duration {
+        let bucket = self.bucket.lock().expect("no panic while held");
+        Duration::from_secs_f64((bucket.wanted / self.rate).max(0.0))
+    }
+}
+
+/// A place in the line, given up when served or when the wait is broken off.
+struct Place<'a> {
+    budget: &'a Budget,
+    cost: f64,
+}
+
+impl<'a> Place<'a> {
+    fn take(budget: &'a Budget, cost: f64) -> Self {
+        let mut bucket = budget.bucket.lock().expect("no panic while held");
+        bucket.wanted += cost;
+        drop(bucket);
+        Self { budget, cost }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut bucket = self.budget.bucket.lock().expect("no panic while held");
+        bucket.wanted -= self.cost;
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[tokio::test(start_paused = true)]
+    async fn the_backlog_is_what_waits_and_has_not_given_up() {
+        let budget = std::sync::Arc::new(Budget::new(10.0, 1.0));
+        let waiting: Vec<_> = (0..40)
+            .map(|_| {
+                let budget = budget.clone();
+                tokio::spawn(async move { budget.spend(1.0, Urgency::High).await })
+            })
+            .collect();
+        tokio::task::yield_now().await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(budget.backlog().as_secs_f64(), 3.0, "30 beyond the burst");
+        waiting.iter().for_each(|w| w.abort());
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        assert_eq!(budget.backlog(), Duration::ZERO);
+    }
+
     #[tokio::test(start_paused = true)]
     async fn renewals_pass_while_the_rest_is_held_to_the_rate() {
         let budget = Budget::new(10.0, 1.0);
