A workspace: protocol and stand-ins as packages, no import circles

Need: every new matter gets a package of its own, and an agent and clients will share the wire types.

The owner's commands and handle stand in src/commands.rs, below node, errands and recovery; the core's messages and data in coordination/messages.rs and state.rs, below core, fleet, roster and storing.

--- a/benches/core.rs
+++ b/benches/core.rs
@@ -2,13 +2,10 @@
 //! is wanted than there is: reports, batches and writes together. The workers
 //! obey at once; what is measured is the core alone, without HTTP.
 
-#[path = "../standins/mod.rs"]
-mod standins;
-
+use copperfield_standins::crew::Crew;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
-use standins::crew::Crew;
 
 const TYPES: &str = r#"{"flavors":[
  {"name":"small","cpus":8,"memory_gb":64,"local_gb":50,"pull_gb_per_s":0.3,"price":0.4,"ready_s":15,"regions":["a","b","c"]},
--- a/src/protocol/cloud.rs
+++ b/crates/protocol/src/cloud.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use super::job::Amounts;
+use crate::job::Amounts;
 
 #[derive(Debug, Clone)]
 pub struct MachineType {
--- a/src/protocol/job.rs
+++ b/crates/protocol/src/job.rs
@@ -3,7 +3,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use serde_json::{Map, Value, json};
 
-use super::JobId;
+use crate::JobId;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
--- a/src/protocol/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -2,8 +2,8 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use super::JobId;
-use super::job::Phase;
+use crate::JobId;
+use crate::job::Phase;
 
 #[derive(Debug, Clone, BorshSerialize, BorshDeserialize)]
 pub enum PeerRequest {
--- a/src/protocol/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{JobId, parse_task};
+use crate::{JobId, parse_task};
 
 #[derive(Debug, Clone, Deserialize)]
 pub struct WireReport {
--- a/standins/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -10,11 +10,11 @@
 use copperfield::bookkeeping::writer::{Write, Written};
 use copperfield::bookkeeping::{RosterPage, Snapshot, StoredJob};
 use copperfield::coordination::core::{Config, Core, DirectOutcome, Effect, Input, RentOutcome};
-use copperfield::protocol::cloud::parse_types;
-use copperfield::protocol::job::{JobSpec, Kind};
-use copperfield::protocol::worker::{Command, Exit, Report, TaskPhase, TaskReport, Verb};
-use copperfield::protocol::{JobId, parse_task};
 use copperfield::settings::{Cluster, Tuning};
+use copperfield_protocol::cloud::parse_types;
+use copperfield_protocol::job::{JobSpec, Kind};
+use copperfield_protocol::worker::{Command, Exit, Report, TaskPhase, TaskReport, Verb};
+use copperfield_protocol::{JobId, parse_task};
 use serde_json::{Value, json};
 
 const TICK_S: f64 = 0.01;
--- a/standins/mod.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,6 @@
 //! Stand-ins for everything outside the controllers, written from the
 //! published protocols. The tests run whole controllers against them in
 //! simulated time; `examples/site.rs` serves them on loopback.
-#![allow(dead_code)]
 
 pub mod crew;
 pub mod site;
--- a/examples/site.rs
+++ b/examples/site.rs
@@ -2,9 +2,6 @@
 //! workers that report and run tasks. With three controllers this is a whole
 //! site on one computer; README walks through it.
 
-#[path = "../standins/mod.rs"]
-mod standins;
-
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -12,10 +9,10 @@
 
 use copperfield::transport::client::{Http, Network};
 use copperfield::transport::server::{Incoming, Outgoing, serve};
+use copperfield_standins::site::{CANCEL_S, Job, LEASE_S, REPORT_S, Site};
+use copperfield_standins::state::StateService;
 use hyper::Method;
 use serde_json::{Value, json};
-use standins::site::{CANCEL_S, Job, LEASE_S, REPORT_S, Site};
-use standins::state::StateService;
 use tokio::time::sleep;
 
 const NODES: u16 = 3;
--- a/src/bookkeeping/recovery.rs
+++ b/src/bookkeeping/recovery.rs
@@ -9,8 +9,8 @@
     JOBS, MachineRecord, PROGRESS, ROSTER, RosterPage, Snapshot, StoredJob, bitmap,
     parse_job_record,
 };
+use crate::commands::{Command, Handle};
 use crate::coordination::core::Input;
-use crate::node::{Command, Handle};
 use crate::protocol::JobId;
 use crate::shared::{Shared, unix_ms};
 
--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -3,8 +3,8 @@
 use crate::protocol::job::Amounts;
 use crate::protocol::worker::{Command, Verb};
 
-use super::core::Core;
 use super::model::*;
+use super::state::Core;
 
 impl Core {
     pub(super) fn add_copy(&mut self, m: u32, key: CopyKey, copy: Copy) {
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -6,202 +6,25 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use crate::bookkeeping::writer::{Write, Written};
 use crate::bookkeeping::{Snapshot, StoredJob, bitmap};
 use crate::protocol::JobId;
-use crate::protocol::cloud::{Listed, MachineType};
+use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{Amounts, JobSpec, Kind, Phase};
 use crate::protocol::peer::Lookup;
-use crate::protocol::worker::{Command, Report, Verb};
-use crate::settings::{Cluster, Objective, Tuning};
+use crate::protocol::worker::Verb;
+use crate::settings::Objective;
 
 use super::auction::Group;
-use super::fleet::Fleet;
+pub use super::messages::*;
 use super::model::*;
-use super::roster::Roster;
+pub use super::state::{Config, Core, TeamUse};
+use super::state::{Fleet, Roster, WINDOW_S};
 
-/// The batch window of the design.
-pub const WINDOW_S: f64 = 0.2;
 /// How long a job's done bits may wait to be stored together.
 const PROGRESS_EVERY_S: f64 = 2.0;
 /// Arrays of so many tasks bid with those that are like them.
 const FEW_TASKS: u32 = 8;
 
-#[derive(Debug)]
-pub enum Input {
-    Report {
-        ticket: u64,
-        report: Report,
-    },
-    /// The end of a direct message.
-    Direct {
-        machine: String,
-        flight: u64,
-        outcome: DirectOutcome,
-    },
-    Job(StoredJob),
-    CancelBegin {
-        ticket: u64,
-        job: JobId,
-    },
-    CancelSettled {
-        job: JobId,
-        phase: Option<Phase>,
-    },
-    Written(Vec<(Write, Written)>),
-    Types(Vec<MachineType>),
-    Listed(Vec<Listed>),
-    Rented {
-        request: String,
-        outcome: RentOutcome,
-    },
-    Returned {
-        machines: Vec<String>,
-        ok: bool,
-    },
-}
-
-#[derive(Debug)]
-pub enum DirectOutcome {
-    /// Surely not delivered.
-    Unsent,
-    /// Executed, with the report that followed.
-    Executed(Report),
-    /// Answered, but nothing was executed.
-    Rejected(Option<Report>),
-    /// It may still be carried out.
-    Unknown,
-}
-
-#[derive(Debug, Clone, PartialEq)]
-pub enum RentOutcome {
-    Machines(Vec<String>),
-    NoCapacity,
-    /// Not carried out; worth trying later.
-    Refused,
-    Unknown,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CancelBegin {
-    Over(Phase),
-    /// Its end is just being stored.
-    Busy,
-    /// Nothing of it is started any more; store the cancellation.
-    Go,
-}
-
-#[derive(Debug, PartialEq)]
-pub enum Effect {
-    /// Answer a report: 200 with commands.
-    Answer {
-        ticket: u64,
-        body: Vec<u8>,
-    },
-    /// Answer a report without renewing anything.
-    Refuse {
-        ticket: u64,
-        why: &'static str,
-    },
-    Direct {
-        machine: String,
-        address: String,
-        session: u64,
-        flight: u64,
-        commands: Vec<Command>,
-    },
-    Inspect {
-        machine: String,
-        address: String,
-        flight: u64,
-    },
-    Write(Vec<Write>),
-    Rent {
-        request: String,
-        machine_type: String,
-        zone: String,
-        spot: bool,
-        count: u32,
-    },
-    Return(Vec<String>),
-    List,
-    ReadTypes,
-    Cancel {
-        ticket: u64,
-        begin: CancelBegin,
-    },
-    /// A worker has seen a higher token than ours.
-    Deposed,
-}
-
-/// Where a report came from: only a `/hello` proves what became of the
-/// commands in the response before it, only a direct answer of its message.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) enum Source {
-    Hello,
-    Direct { flight: u64, executed: bool },
-}
-
-pub struct Config {
-    pub cluster: Cluster,
-    pub tuning: Tuning,
-}
-
-#[derive(Debug, Clone, Default)]
-pub struct TeamUse {
-    pub guarantee: Amounts,
-    pub most: Amounts,
-    pub used: Amounts,
-}
-
-pub struct Core {
-    pub config: Config,
-    pub token: u64,
-    pub(super) elected_at: Time,
-    /// The election, put off by the pauses of this process since.
-    pub(super) listening_since: Time,
-    pub(super) now: Time,
-    pub(super) zones: Names,
-    pub(super) types: Types,
-    pub(super) images: Names,
-    pub(super) image_gb: Vec<f64>,
-    pub(super) team_names: Names,
-    pub(super) teams: Vec<TeamUse>,
-    pub(super) jobs: Slab<Job>,
-    pub(super) job_ids: JobIds,
-    pub(super) machines: Slab<Machine>,
-    pub(super) machine_ids: HashMap<String, u32>,
-    /// Machines that were returned: their late reports mean nothing.
-    pub(super) gone: BTreeSet<String>,
-    pub(super) fleet: Fleet,
-    pub(super) shapes: Vec<Shape>,
-    pub(super) alike: BTreeMap<Likeness, u32>,
-    /// Chunks of done bits that wait to be stored, the longest first.
-    pub(super) progress_due: VecDeque<(u32, u32)>,
-    /// Where the last batch left off among the jobs that it had no time for.
-    pub(super) next_in_tail: usize,
-    /// Jobs that ended under this leader, by number.
-    pub(super) over: HashMap<JobId, Phase>,
-    /// Jobs to be cancelled that the watch has not shown yet.
-    pub(super) cancel_early: BTreeSet<JobId>,
-    pub(super) next_attempt: u64,
-    pub(super) next_flight: u64,
-    pub(super) effects: Vec<Effect>,
-    pub(super) writing: bool,
-    pub(super) finish: VecDeque<u32>,
-    pub(super) drop_progress: VecDeque<(JobId, u32, u64)>,
-    pub(super) roster: Roster,
-    /// A page of the roster cannot be read: any machine may hold anything.
-    pub(super) unknown_machines: bool,
-    pub(super) next_batch: Time,
-    pub(super) next_second: Time,
-    /// How long replicas may be away for moves, in seconds.
-    pub(super) move_credit: f64,
-    /// No earlier leader's start can be anywhere unknown any more.
-    pub(super) settled: bool,
-    pub(super) chunk_tasks: u32,
-}
-
 impl Core {
     pub fn new(
         config: Config,
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -19,7 +19,7 @@
 
 use crate::bookkeeping::store::{StoreError, call_peer, put};
 use crate::bookkeeping::{FOUNDED, LEADER};
-use crate::node::{Command, Handle};
+use crate::commands::{Command, Handle};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Transaction};
 use crate::shared::Shared;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -5,8 +5,9 @@
 use crate::protocol::cloud::Listed;
 use crate::protocol::job::Amounts;
 
-use super::core::{Core, Effect, RentOutcome};
+use super::messages::{Effect, RentOutcome};
 use super::model::*;
+use super::state::{Booting, Core, Rental};
 
 /// How long a type, zone and kind is left alone after the cloud had none.
 const NO_CAPACITY_S: f64 = 20.0;
@@ -32,54 +33,6 @@
 /// Machines returned at once; the cloud takes no more than 100.
 const MOST_PER_RETURN: usize = 100;
 
-#[derive(Debug, Clone)]
-struct Rental {
-    kind: u32,
-    zone: u32,
-    spot: bool,
-    count: u32,
-}
-
-/// A machine that was rented and has not reported yet.
-#[derive(Debug, Clone)]
-struct Booting {
-    kind: u32,
-    since: Time,
-    spot: bool,
-}
-
-#[derive(Debug)]
-pub struct Fleet {
-    token: u64,
-    next_request: u64,
-    asked: BTreeMap<String, Rental>,
-    booting: BTreeMap<String, Booting>,
-    /// By type: how long machines took to come up, as a multiple of what the cloud says.
-    boot_factor: BTreeMap<u32, f64>,
-    no_capacity: BTreeMap<(u32, u32, bool), Time>,
-    next_list: Time,
-    next_types: Time,
-    returning: bool,
-    listed_once: bool,
-}
-
-impl Fleet {
-    pub fn new(token: u64, now: Time) -> Self {
-        Self {
-            token,
-            next_request: 0,
-            asked: BTreeMap::new(),
-            booting: BTreeMap::new(),
-            boot_factor: BTreeMap::new(),
-            no_capacity: BTreeMap::new(),
-            next_list: now,
-            next_types: now,
-            returning: false,
-            listed_once: false,
-        }
-    }
-}
-
 impl Core {
     pub(super) fn every_second(&mut self) {
         if self.now >= self.fleet.next_types {
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -7,8 +7,8 @@
 
 use crate::protocol::job::Amounts;
 
-use super::core::Core;
 use super::model::*;
+use super::state::Core;
 
 /// The time ahead for which machines are kept whole.
 const HORIZON_S: f64 = 75.0;
--- a/src/coordination/gangs.rs
+++ b/src/coordination/gangs.rs
@@ -1,7 +1,7 @@
 //! Gangs: one attempt starts whole, is stopped whole, and restarts whole.
 
-use super::core::{Core, WINDOW_S};
 use super::model::*;
+use super::state::{Core, WINDOW_S};
 
 /// A claim of a gang that gathers lasts until the batch after next.
 const GATHER_CLAIM_S: f64 = 2.5 * WINDOW_S;
--- /dev/null
+++ b/src/coordination/messages.rs
@@ -0,0 +1,123 @@
+//! What goes into the core and what comes out of it.
+
+use crate::bookkeeping::StoredJob;
+use crate::bookkeeping::writer::{Write, Written};
+use crate::protocol::JobId;
+use crate::protocol::cloud::{Listed, MachineType};
+use crate::protocol::job::Phase;
+use crate::protocol::worker::{Command, Report};
+
+#[derive(Debug)]
+pub enum Input {
+    Report {
+        ticket: u64,
+        report: Report,
+    },
+    /// The end of a direct message.
+    Direct {
+        machine: String,
+        flight: u64,
+        outcome: DirectOutcome,
+    },
+    Job(StoredJob),
+    CancelBegin {
+        ticket: u64,
+        job: JobId,
+    },
+    CancelSettled {
+        job: JobId,
+        phase: Option<Phase>,
+    },
+    Written(Vec<(Write, Written)>),
+    Types(Vec<MachineType>),
+    Listed(Vec<Listed>),
+    Rented {
+        request: String,
+        outcome: RentOutcome,
+    },
+    Returned {
+        machines: Vec<String>,
+        ok: bool,
+    },
+}
+
+#[derive(Debug)]
+pub enum DirectOutcome {
+    /// Surely not delivered.
+    Unsent,
+    /// Executed, with the report that followed.
+    Executed(Report),
+    /// Answered, but nothing was executed.
+    Rejected(Option<Report>),
+    /// It may still be carried out.
+    Unknown,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum RentOutcome {
+    Machines(Vec<String>),
+    NoCapacity,
+    /// Not carried out; worth trying later.
+    Refused,
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CancelBegin {
+    Over(Phase),
+    /// Its end is just being stored.
+    Busy,
+    /// Nothing of it is started any more; store the cancellation.
+    Go,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// Answer a report: 200 with commands.
+    Answer {
+        ticket: u64,
+        body: Vec<u8>,
+    },
+    /// Answer a report without renewing anything.
+    Refuse {
+        ticket: u64,
+        why: &'static str,
+    },
+    Direct {
+        machine: String,
+        address: String,
+        session: u64,
+        flight: u64,
+        commands: Vec<Command>,
+    },
+    Inspect {
+        machine: String,
+        address: String,
+        flight: u64,
+    },
+    Write(Vec<Write>),
+    Rent {
+        request: String,
+        machine_type: String,
+        zone: String,
+        spot: bool,
+        count: u32,
+    },
+    Return(Vec<String>),
+    List,
+    ReadTypes,
+    Cancel {
+        ticket: u64,
+        begin: CancelBegin,
+    },
+    /// A worker has seen a higher token than ours.
+    Deposed,
+}
+
+/// Where a report came from: only a `/hello` proves what became of the
+/// commands in the response before it, only a direct answer of its message.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Source {
+    Hello,
+    Direct { flight: u64, executed: bool },
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,8 +1,10 @@
 //! Who leads, and what runs where.
 //!
 //! `election` holds the leader key; `core` is the leader's sans-IO state
-//! machine, with submodules for copies, reports, what is stored, the market,
-//! gangs, preemption, the fleet and its roster.
+//! machine. `messages` are what goes into it and comes out, `model` and `state`
+//! what it keeps; the other modules each own a part of what it does: copies,
+//! reports, what is stored, the market, gangs, preemption, moves, the fleet and
+//! its roster.
 
 pub mod auction;
 mod copies;
@@ -11,10 +13,12 @@
 mod fleet;
 mod forecast;
 mod gangs;
+mod messages;
 pub mod model;
 mod moves;
 mod placement;
 mod preemption;
 mod reports;
 mod roster;
+mod state;
 mod storing;
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -7,8 +7,8 @@
 //! place that is claimed for it, so it is away for about a second, or for as
 //! long as its image takes.
 
-use super::core::Core;
 use super::model::*;
+use super::state::Core;
 
 /// A start counts as one only if the task is left alone for half a minute.
 const SETTLED_S: f64 = 35.0;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,8 +5,8 @@
 use crate::protocol::job::{Amounts, Kind, Priority};
 
 use super::auction::{self, Group, Lot};
-use super::core::Core;
 use super::model::*;
+use super::state::Core;
 
 /// Steepness of the bid gate (the paper's k).
 const GATE_STEEPNESS: f64 = 25.0;
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -8,9 +8,9 @@
 
 use crate::protocol::job::Amounts;
 
-use super::core::Core;
 use super::gangs::grace_to_save;
 use super::model::*;
+use super::state::Core;
 
 /// Tasks for which one batch may clear room, on a small site and for each
 /// machine of a large one: a zone that is lost leaves a third of all replicas
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -5,8 +5,9 @@
 use crate::protocol::job::Amounts;
 use crate::protocol::worker::{Command, Exit, MAX_COMMANDS, Report, TaskPhase, Verb, orders_body};
 
-use super::core::{Core, DirectOutcome, Effect, Source};
+use super::messages::{DirectOutcome, Effect, Source};
 use super::model::*;
+use super::state::Core;
 
 /// Steady clocks drift apart by 0.05% each way; timers and queues add a little.
 const DRIFT: f64 = 1.001;
--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -11,60 +11,14 @@
 use crate::bookkeeping::writer::{Write, Written};
 use crate::bookkeeping::{MachineRecord, RosterPage};
 
-use super::core::Core;
 use super::model::*;
+use super::state::{Core, Page};
 
-/// Room in a stored page for one machine with its images.
-const BYTES_PER_MACHINE: usize = 512;
-const MOST_PER_PAGE: usize = 32;
 /// Images are a hint and dead machines only cost the next leader a question:
 /// neither is written at once.
 const HINT_EVERY_S: Time = 10.0;
 const STRIKE_AFTER_S: Time = 0.3;
 
-#[derive(Debug, Default)]
-struct Page {
-    machines: Vec<u32>,
-    version: u64,
-    /// When what is stored must say what it does not say yet.
-    due: Option<Time>,
-    writing: bool,
-    /// Holds a value that does not parse, which is never overwritten.
-    unreadable: bool,
-}
-
-impl Page {
-    fn due_by(&mut self, at: Time) {
-        self.due = Some(self.due.map_or(at, |d| d.min(at)));
-    }
-}
-
-#[derive(Debug)]
-pub struct Roster {
-    pages: Vec<Page>,
-    per_page: usize,
-    bytes_per_machine: usize,
-}
-
-impl Roster {
-    pub fn new(value_bytes: usize) -> Self {
-        let per_page = (value_bytes / BYTES_PER_MACHINE).clamp(1, MOST_PER_PAGE);
-        Self {
-            pages: Vec::new(),
-            per_page,
-            bytes_per_machine: value_bytes * 9 / 10 / per_page,
-        }
-    }
-
-    fn page(&mut self, ix: u32) -> &mut Page {
-        let ix = ix as usize;
-        if self.pages.len() <= ix {
-            self.pages.resize_with(ix + 1, Page::default);
-        }
-        &mut self.pages[ix]
-    }
-}
-
 impl Core {
     pub(super) fn restore_roster(&mut self, stored: RosterPage) {
         let page = self.roster.page(stored.page);
--- /dev/null
+++ b/src/coordination/state.rs
@@ -0,0 +1,169 @@
+//! All that the leader's core keeps, as plain data: the modules above it each
+//! own a part of what is done with it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use crate::protocol::JobId;
+use crate::protocol::job::{Amounts, Phase};
+use crate::settings::{Cluster, Tuning};
+
+use super::messages::Effect;
+use super::model::*;
+
+/// The batch window of the design.
+pub const WINDOW_S: f64 = 0.2;
+
+/// Room in a stored page for one machine with its images.
+const BYTES_PER_MACHINE: usize = 512;
+const MOST_PER_PAGE: usize = 32;
+
+pub struct Config {
+    pub cluster: Cluster,
+    pub tuning: Tuning,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct TeamUse {
+    pub guarantee: Amounts,
+    pub most: Amounts,
+    pub used: Amounts,
+}
+
+pub struct Core {
+    pub config: Config,
+    pub token: u64,
+    pub(super) elected_at: Time,
+    /// The election, put off by the pauses of this process since.
+    pub(super) listening_since: Time,
+    pub(super) now: Time,
+    pub(super) zones: Names,
+    pub(super) types: Types,
+    pub(super) images: Names,
+    pub(super) image_gb: Vec<f64>,
+    pub(super) team_names: Names,
+    pub(super) teams: Vec<TeamUse>,
+    pub(super) jobs: Slab<Job>,
+    pub(super) job_ids: JobIds,
+    pub(super) machines: Slab<Machine>,
+    pub(super) machine_ids: HashMap<String, u32>,
+    /// Machines that were returned: their late reports mean nothing.
+    pub(super) gone: BTreeSet<String>,
+    pub(super) fleet: Fleet,
+    pub(super) shapes: Vec<Shape>,
+    pub(super) alike: BTreeMap<Likeness, u32>,
+    /// Chunks of done bits that wait to be stored, the longest first.
+    pub(super) progress_due: VecDeque<(u32, u32)>,
+    /// Where the last batch left off among the jobs that it had no time for.
+    pub(super) next_in_tail: usize,
+    /// Jobs that ended under this leader, by number.
+    pub(super) over: HashMap<JobId, Phase>,
+    /// Jobs to be cancelled that the watch has not shown yet.
+    pub(super) cancel_early: BTreeSet<JobId>,
+    pub(super) next_attempt: u64,
+    pub(super) next_flight: u64,
+    pub(super) effects: Vec<Effect>,
+    pub(super) writing: bool,
+    pub(super) finish: VecDeque<u32>,
+    pub(super) drop_progress: VecDeque<(JobId, u32, u64)>,
+    pub(super) roster: Roster,
+    /// A page of the roster cannot be read: any machine may hold anything.
+    pub(super) unknown_machines: bool,
+    pub(super) next_batch: Time,
+    pub(super) next_second: Time,
+    /// How long replicas may be away for moves, in seconds.
+    pub(super) move_credit: f64,
+    /// No earlier leader's start can be anywhere unknown any more.
+    pub(super) settled: bool,
+    pub(super) chunk_tasks: u32,
+}
+
+#[derive(Debug, Clone)]
+pub(super) struct Rental {
+    pub(super) kind: u32,
+    pub(super) zone: u32,
+    pub(super) spot: bool,
+    pub(super) count: u32,
+}
+
+/// A machine that was rented and has not reported yet.
+#[derive(Debug, Clone)]
+pub(super) struct Booting {
+    pub(super) kind: u32,
+    pub(super) since: Time,
+    pub(super) spot: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) token: u64,
+    pub(super) next_request: u64,
+    pub(super) asked: BTreeMap<String, Rental>,
+    pub(super) booting: BTreeMap<String, Booting>,
+    /// By type: how long machines took to come up, as a multiple of what the cloud says.
+    pub(super) boot_factor: BTreeMap<u32, f64>,
+    pub(super) no_capacity: BTreeMap<(u32, u32, bool), Time>,
+    pub(super) next_list: Time,
+    pub(super) next_types: Time,
+    pub(super) returning: bool,
+    pub(super) listed_once: bool,
+}
+
+impl Fleet {
+    pub fn new(token: u64, now: Time) -> Self {
+        Self {
+            token,
+            next_request: 0,
+            asked: BTreeMap::new(),
+            booting: BTreeMap::new(),
+            boot_factor: BTreeMap::new(),
+            no_capacity: BTreeMap::new(),
+            next_list: now,
+            next_types: now,
+            returning: false,
+            listed_once: false,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Page {
+    pub(super) machines: Vec<u32>,
+    pub(super) version: u64,
+    /// When what is stored must say what it does not say yet.
+    pub(super) due: Option<Time>,
+    pub(super) writing: bool,
+    /// Holds a value that does not parse, which is never overwritten.
+    pub(super) unreadable: bool,
+}
+
+impl Page {
+    pub(super) fn due_by(&mut self, at: Time) {
+        self.due = Some(self.due.map_or(at, |d| d.min(at)));
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Roster {
+    pub(super) pages: Vec<Page>,
+    pub(super) per_page: usize,
+    pub(super) bytes_per_machine: usize,
+}
+
+impl Roster {
+    pub fn new(value_bytes: usize) -> Self {
+        let per_page = (value_bytes / BYTES_PER_MACHINE).clamp(1, MOST_PER_PAGE);
+        Self {
+            pages: Vec::new(),
+            per_page,
+            bytes_per_machine: value_bytes * 9 / 10 / per_page,
+        }
+    }
+
+    pub(super) fn page(&mut self, ix: u32) -> &mut Page {
+        let ix = ix as usize;
+        if self.pages.len() <= ix {
+            self.pages.resize_with(ix + 1, Page::default);
+        }
+        &mut self.pages[ix]
+    }
+}
--- a/src/coordination/storing.rs
+++ b/src/coordination/storing.rs
@@ -6,8 +6,9 @@
 use crate::protocol::JobId;
 use crate::protocol::job::Phase;
 
-use super::core::{Core, Effect};
+use super::messages::Effect;
 use super::model::*;
+use super::state::Core;
 
 /// Values in one transaction, under the 64 KiB that it may have.
 pub(super) const TXN_BYTES: usize = 40 * 1024;
--- a/src/errands.rs
+++ b/src/errands.rs
@@ -8,8 +8,8 @@
 use hyper::Method;
 
 use crate::bookkeeping::writer::{self, WriteError};
+use crate::commands::{Command, Handle};
 use crate::coordination::core::{DirectOutcome, Effect, Input, RentOutcome};
-use crate::node::{Command, Handle};
 use crate::protocol::cloud::{self, MachineType};
 use crate::protocol::job::Phase;
 use crate::protocol::worker::{Report, orders_body};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,11 +8,13 @@
 //! workers and peers.
 
 pub mod bookkeeping;
+pub mod commands;
 pub mod coordination;
 pub mod errands;
 pub mod node;
-pub mod protocol;
 pub mod service;
 pub mod settings;
 pub mod shared;
 pub mod transport;
+
+pub use copperfield_protocol as protocol;
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,6 +13,7 @@
 
 use crate::bookkeeping::Snapshot;
 use crate::bookkeeping::recovery::recover;
+use crate::commands::{Command, Handle};
 use crate::coordination::core::{CancelBegin, Config, Core, Effect, Input};
 use crate::errands::perform;
 use crate::protocol::JobId;
@@ -35,70 +36,6 @@
 /// and is worked off within a moment.
 const LONG_PAUSE: Duration = Duration::from_secs(2);
 
-#[derive(Debug)]
-pub enum Command {
-    Hello {
-        report: Report,
-        reply: oneshot::Sender<Outgoing>,
-    },
-    /// What is known of each of these jobs, and who is thought to lead.
-    Ask {
-        jobs: Vec<JobId>,
-        reply: oneshot::Sender<(Vec<Lookup>, Option<String>)>,
-    },
-    BeginCancel {
-        job: JobId,
-        reply: oneshot::Sender<Option<(CancelBegin, u64)>>,
-    },
-    SettleCancel {
-        job: JobId,
-        phase: Option<Phase>,
-    },
-    /// A final phase, stored, to be remembered.
-    Ended {
-        job: JobId,
-        phase: Phase,
-    },
-    AskTypes {
-        reply: oneshot::Sender<Option<Arc<Vec<MachineType>>>>,
-    },
-    Types(Vec<MachineType>),
-    LeaderSeen(Option<String>),
-    Elected {
-        token: u64,
-    },
-    Recovered {
-        token: u64,
-        snapshot: Snapshot,
-    },
-    Lost {
-        token: u64,
-    },
-    /// Something the core asked for has come back.
-    Input {
-        token: u64,
-        input: Input,
-    },
-}
-
-#[derive(Clone)]
-pub struct Handle {
-    queue: mpsc::Sender<Command>,
-}
-
-impl Handle {
-    pub async fn send(&self, command: Command) {
-        // Fails only when the owner has ended, and then the process ends.
-        let _ = self.queue.send(command).await;
-    }
-
-    pub async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> Option<T> {
-        let (reply, answer) = oneshot::channel();
-        self.queue.send(command(reply)).await.ok()?;
-        answer.await.ok()
-    }
-}
-
 enum Role {
     Follower,
     /// Elected, and reading what is stored. Reports wait for that.
@@ -134,7 +71,7 @@
 impl Owner {
     pub fn new(shared: Arc<Shared>) -> (Self, Handle) {
         let (tx, rx) = mpsc::channel(QUEUE);
-        let handle = Handle { queue: tx };
+        let handle = Handle::new(tx);
         let owner = Self {
             shared,
             handle: handle.clone(),
--- a/src/service.rs
+++ b/src/service.rs
@@ -12,9 +12,10 @@
 
 use crate::bookkeeping::store::{StoreError, call_peer, put};
 use crate::bookkeeping::{LEADER, job_key, job_record, terminal_key, terminal_record};
+use crate::commands::{Command, Handle};
 use crate::coordination::core::CancelBegin;
 use crate::coordination::election;
-use crate::node::{Command, Handle, Owner};
+use crate::node::Owner;
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::{JobSpec, Kind, Phase, Priority};
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -1,16 +1,13 @@
 //! What the core does on a site, with workers that obey at once. Each of these
 //! guards against something that was seen to go wrong.
 
-#[path = "../standins/mod.rs"]
-mod standins;
-
 use std::collections::BTreeSet;
 
 use copperfield::bookkeeping::{RosterPage, Snapshot};
 use copperfield::protocol::JobId;
 use copperfield::protocol::worker::{Command, Verb};
+use copperfield_standins::crew::{Crew, stored};
 use serde_json::{Value, json};
-use standins::crew::{Crew, stored};
 
 const TYPES: &str = r#"{"flavors":[
  {"name":"small","cpus":4,"memory_gb":16,"local_gb":50,"pull_gb_per_s":1,"price":0.2,"ready_s":10,"regions":["a","b"]},
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -1,8 +1,5 @@
 //! Whole controllers against the stand-ins: simulated time, seeded, every rule checked.
 
-#[path = "../standins/mod.rs"]
-mod standins;
-
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,12 +10,12 @@
 use copperfield::settings::{Settings, Tuning};
 use copperfield::transport::client::{Answer, CallError, Exchange, Network, within};
 use copperfield::transport::server::Incoming;
+use copperfield_standins::site::{CANCEL_S, Job, LEASE_S, REPORT_S, Site};
+use copperfield_standins::state::StateService;
 use hyper::Method;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
-use standins::site::{CANCEL_S, Job, LEASE_S, REPORT_S, Site};
-use standins::state::StateService;
 use tokio::time::{Instant, sleep, timeout};
 
 const NODES: usize = 3;
