--- /dev/null
+++ b/crates/defrag/src/lib.rs
@@ -0,0 +1,26 @@
+//! Which running tasks to move so that whole machines come free.
+//!
+//! A task that takes most of a machine waits while capacity lies about in
+//! pieces. [`free`] finds the moves that make room for it with the least work
+//! lost, and only if what they free is worth more than they cost; [`empty`]
+//! finds places for what runs on a machine that drains.
+//!
+//! Everything is in the controllers' own terms: amounts in thousandths, times
+//! in seconds, costs in money (price per second × seconds × the weight of the
+//! work), indices where there are names elsewhere. There is no I/O, no clock
+//! and no randomness, so the same fleet gives the same plan.
+//!
+//! | module | what |
+//! | --- | --- |
+//! | [`fleet`] | what goes in: machines, work, copies of tasks, a want |
+//! | `choose` | the cheapest copies to take off one machine |
+//! | `place` | where each of them goes |
+//! | `plan` | which machines to free, and for how much |
+
+mod choose;
+pub mod fleet;
+mod place;
+mod plan;
+
+pub use fleet::{Copy, Fleet, Limits, Machine, Want, Work};
+pub use plan::{Move, Plan, Reason, empty, free};
--- /dev/null
+++ b/crates/defrag/src/place.rs
@@ -0,0 +1,158 @@
+//! Where moved tasks go.
+//!
+//! A target must have the room while everything is still where it was: a move
+//! claims its target first and stops the task after that. So nothing in a plan
+//! counts on room that another move of the plan has yet to free.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use copperfield_protocol::job::Amounts;
+
+use crate::fleet::{Fleet, Limits};
+
+/// So many of the machines that a task could go to are put in order; the rest, of which
+/// a plan hardly ever needs one, come as they are.
+const BEST: usize = 64;
+
+/// Room and zones as a plan has spoken for them so far.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Spoken {
+    room: BTreeMap<u32, Amounts>,
+    /// By job and zone: tasks that come less tasks that go.
+    zones: BTreeMap<(u32, u32), i64>,
+    leaving: BTreeMap<u32, u32>,
+    pub cost: f64,
+}
+
+impl Spoken {
+    fn room(&self, fleet: &Fleet, m: u32) -> Amounts {
+        let taken = self.room.get(&m).copied().unwrap_or_default();
+        let mut room = fleet.machines[m as usize].room;
+        room.sub(&taken);
+        room
+    }
+}
+
+/// Finds a target for each copy of a unit (one task, or a whole gang), or for none.
+/// `kept` are machines that nothing may move to: those that the plan frees.
+pub(crate) fn place(
+    fleet: &Fleet,
+    targets: &Targets,
+    unit: &[u32],
+    kept: &BTreeSet<u32>,
+    limits: &Limits,
+    spoken: &Spoken,
+) -> Option<(Spoken, Vec<(u32, u32)>)> {
+    let w = fleet.copies[*unit.first()? as usize].work;
+    let work = &fleet.works[w as usize];
+    let mut after = spoken.clone();
+    let leaving = after.leaving.entry(w).or_default();
+    *leaving += unit.len() as u32;
+    if *leaving > work.may_leave {
+        return None;
+    }
+    // A gang that may only be in one zone goes to any one of them, as a whole. What
+    // is left of other work that must keep together stays, so the rest does too.
+    let zones: Vec<Option<u32>> = if work.one_zone && work.gang {
+        (0..work.by_zone.len() as u32).map(Some).collect()
+    } else if work.one_zone {
+        vec![Some(
+            fleet.machines[fleet.copies[unit[0] as usize].machine as usize].zone,
+        )]
+    } else {
+        vec![None]
+    };
+    for &c in unit {
+        let zone = fleet.machines[fleet.copies[c as usize].machine as usize].zone;
+        *after.zones.entry((w, zone)).or_default() -= 1;
+    }
+    let list = targets.of(fleet, w);
+    let mut best: Option<(Spoken, Vec<(u32, u32)>)> = None;
+    for zone in zones {
+        let mut tried = after.clone();
+        let mut found = Vec::new();
+        for &c in unit {
+            let Some(to) = target(fleet, &list, c, zone, kept, &tried) else {
+                break;
+            };
+            let there = fleet.machines[to as usize].zone;
+            tried.room.entry(to).or_default().add(&work.needs);
+            *tried.zones.entry((w, there)).or_default() += 1;
+            tried.cost += fleet.cost_to(c, to, limits);
+            found.push((c, to));
+        }
+        if found.len() == unit.len() && best.as_ref().is_none_or(|(b, _)| tried.cost < b.cost) {
+            best = Some((tried, found));
+        }
+    }
+    best
+}
+
+/// For each job the machines that could run a task of it, best first: the one where it
+/// loses the least to the fetch; between equals the one whose share costs least, then the
+/// one that is left with the least room. Made when first asked for, and then kept: one
+/// plan tries the same tasks many times.
+#[derive(Debug, Default)]
+pub(crate) struct Targets(RefCell<BTreeMap<u32, Rc<[u32]>>>);
+
+impl Targets {
+    fn of(&self, fleet: &Fleet, w: u32) -> Rc<[u32]> {
+        self.0
+            .borrow_mut()
+            .entry(w)
+            .or_insert_with(|| list(fleet, w))
+            .clone()
+    }
+}
+
+fn list(fleet: &Fleet, w: u32) -> Rc<[u32]> {
+    let work = &fleet.works[w as usize];
+    let mut all: Vec<(f64, f64, f64, u32)> = Vec::new();
+    for (m, machine) in (0u32..).zip(&fleet.machines) {
+        if !machine.receives || !work.needs.fits_in(&machine.room) || !work.suits(m, machine) {
+            continue;
+        }
+        let mut after = machine.room;
+        after.sub(&work.needs);
+        let fetch_s = fleet.fetch_s(work, m);
+        let rent = machine.price * work.needs.share_of(&machine.whole);
+        all.push((fetch_s, rent, after.share_of(&machine.whole), m));
+    }
+    let order = |a: &(f64, f64, f64, u32), b: &(f64, f64, f64, u32)| {
+        a.0.total_cmp(&b.0)
+            .then(a.1.total_cmp(&b.1))
+            .then(a.2.total_cmp(&b.2))
+            .then(a.3.cmp(&b.3))
+    };
+    if all.len() > BEST {
+        all.select_nth_unstable_by(BEST, order);
+    }
+    let best = all.len().min(BEST);
+    all[..best].sort_unstable_by(order);
+    all.into_iter().map(|t| t.3).collect()
+}
+
+/// The first of the machines that could take a copy, as things stand in this plan.
+fn target(
+    fleet: &Fleet,
+    targets: &[u32],
+    c: u32,
+    zone: Option<u32>,
+    kept: &BTreeSet<u32>,
+    spoken: &Spoken,
+) -> Option<u32> {
+    let copy = &fleet.copies[c as usize];
+    let work = &fleet.works[copy.work as usize];
+    targets.iter().copied().find(|&m| {
+        let there = fleet.machines[m as usize].zone;
+        if m == copy.machine || zone.is_some_and(|z| z != there) || kept.contains(&m) {
+            return false;
+        }
+        let here = work.by_zone.get(there as usize).copied().unwrap_or(0);
+        let planned = spoken.zones.get(&(copy.work, there)).copied().unwrap_or(0);
+        i64::from(here) + planned < i64::from(work.zone_cap)
+            && work.needs.fits_in(&spoken.room(fleet, m))
+    })
+}
