--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -43,6 +43,14 @@
     }
 }
 
+/// Where a job stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Standing {
+    pub phase: Phase,
+    /// Tasks that are known to be completed; 0 of a job that was cancelled while nobody led.
+    pub done: u32,
+}
+
 /// Amounts in thousandths, so that adding and taking away never drifts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Amounts {
@@ -106,6 +114,9 @@
     pub checkpoint_s: f64,
     pub save_s: f64,
     pub deadline_s: Option<f64>,
+    /// Whether its tasks may be moved while they run. An addition of ours (`movable`)
+    /// that other receivers ignore; `None`: as its class says.
+    pub movable: Option<bool>,
 }
 
 /// Names longer than this are a mistake, and would not fit the stored record.
@@ -135,9 +146,13 @@
     }
 
     fn flag(&self, name: &str) -> Result<bool, String> {
+        Ok(self.optional_flag(name)?.unwrap_or(false))
+    }
+
+    fn optional_flag(&self, name: &str) -> Result<Option<bool>, String> {
         match self.get(name) {
-            None => Ok(false),
-            Some(Value::Bool(b)) => Ok(*b),
+            None => Ok(None),
+            Some(Value::Bool(b)) => Ok(Some(*b)),
             Some(_) => Err(format!("{name}: not true or false")),
         }
     }
@@ -218,13 +233,14 @@
             checkpoint_s: f.number("snapshot_every_s", 1e8)?.unwrap_or(0.0),
             save_s: f.number("snapshot_s", 1e8)?.unwrap_or(0.0),
             deadline_s: f.number("due_s", 1e8)?,
+            movable: f.optional_flag("movable")?,
         })
     }
 
     /// The stored form is the wire's, so that one parser reads both.
     pub fn to_json(&self) -> Value {
         let milli = |x: i64| x as f64 / 1000.0;
-        json!({
+        let mut value = json!({
             "uid": self.id.to_string(), "jobclass": self.class, "owner": self.team,
             "shape": match self.kind { Kind::Array => "sweep", Kind::Gang => "group", Kind::Service => "service" },
             "rank": match self.priority {
@@ -235,7 +251,11 @@
             "one_zone": self.one_zone, "spread": self.spread, "preemptibles": self.spot,
             "bundle": self.image, "pull_gb": self.image_gb, "runtime_s": self.estimate_s,
             "snapshot_every_s": self.checkpoint_s, "snapshot_s": self.save_s, "due_s": self.deadline_s,
-        })
+        });
+        if let Some(movable) = self.movable {
+            value["movable"] = movable.into();
+        }
+        value
     }
 }
 
@@ -247,7 +267,7 @@
         json!({"uid":"wk-000412","jobclass":"train","owner":"vision","shape":"group","rank":"urgent",
             "shards":16,"cpus":8.0,"gpus":1.0,"memory_gb":64.0,"bundle":"img-07","pull_gb":6.2,
             "flavors":["g8"],"region":null,"one_zone":true,"spread":false,"preemptibles":true,
-            "runtime_s":240.0,"snapshot_every_s":30.0,"snapshot_s":4.0,"due_s":900.0})
+            "runtime_s":240.0,"snapshot_every_s":30.0,"snapshot_s":4.0,"due_s":900.0,"movable":false})
     }
 
     #[test]
@@ -272,6 +292,7 @@
             ("flavors", json!("g8")),
             ("one_zone", json!("yes")),
             ("due_s", json!(-3)),
+            ("movable", json!("no")),
         ] {
             let mut body = sample();
             body[field] = value.clone();
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -3,7 +3,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use crate::JobId;
-use crate::job::Phase;
+use crate::job::{Phase, Standing};
 
 #[derive(Debug, Clone, BorshSerialize, BorshDeserialize)]
 pub enum PeerRequest {
@@ -22,6 +22,30 @@
     Vouch { token: u64 },
     /// Are you there?
     Ping,
+    /// What an operator asks, of the leader.
+    Operate(Order),
+}
+
+/// What an operator asks.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Order {
+    /// A page of the nodes, by name, beginning after `since`.
+    Nodes {
+        since: String,
+    },
+    /// Moves under way, the last ones, and what waits for whole machines.
+    Moves,
+    /// Nothing new is started on a node; what may move moves; the rest ends by itself, or
+    /// is stopped in order once the deadline has passed.
+    Drain {
+        node: String,
+        deadline_s: Option<f64>,
+        /// Also if it disturbs a protected class.
+        yes: bool,
+    },
+    Undrain {
+        node: String,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -36,11 +60,16 @@
     Vouched,
     /// The node asked cannot answer now.
     Unable,
+    /// The leader's answer to an operator, as HTTP has it.
+    Operated {
+        status: u16,
+        body: Vec<u8>,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Lookup {
-    Terminal(Phase),
+    Terminal(Standing),
     Live {
         phase: Phase,
         done: u32,
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -7,6 +7,7 @@
 //! | `cf/j/{job}` | a live job's description | any node, create-only |
 //! | `cf/t/{job}` | a job's final phase, kept for ever | the leader, or anyone while there is none |
 //! | `cf/p/{job}/{chunk}` | which tasks are done, as a hexadecimal bitmap | the leader |
+//! | `cf/d/{node}` | a drain that an operator has ordered | the leader |
 //! | `cf/r/{page}` | the roster: machines that may have been given tasks | the leader |
 //!
 //! A job's end moves it from `cf/j/` to `cf/t/` in one transaction. A reader
@@ -22,7 +23,7 @@
 use serde_json::{Value, json};
 
 use crate::protocol::JobId;
-use crate::protocol::job::{JobSpec, Phase};
+use crate::protocol::job::{JobSpec, Phase, Standing};
 
 pub const LEADER: &str = "cf/leader";
 /// Written with the first leader key and never removed: as long as it is
@@ -31,6 +32,7 @@
 pub const JOBS: &str = "cf/j/";
 pub const PROGRESS: &str = "cf/p/";
 pub const ROSTER: &str = "cf/r/";
+pub const DRAINS: &str = "cf/d/";
 
 pub fn job_key(job: JobId) -> String {
     format!("{JOBS}{job}")
@@ -48,6 +50,10 @@
     format!("{ROSTER}{page:05}")
 }
 
+pub fn drain_key(node: &str) -> String {
+    format!("{DRAINS}{node}")
+}
+
 /// A live job's record: the submission and when it was accepted (time of day).
 pub fn job_record(spec: &JobSpec, accepted_ms: u64) -> Value {
     json!({"spec": spec.to_json(), "at": accepted_ms})
@@ -58,16 +64,43 @@
     Ok((spec, value.get("at").and_then(Value::as_u64).unwrap_or(0)))
 }
 
-pub fn terminal_record(phase: Phase) -> Value {
-    json!({"phase": phase.spelling()})
+pub fn terminal_record(end: Standing) -> Value {
+    json!({"phase": end.phase.spelling(), "done": end.done})
 }
 
-pub fn parse_terminal(value: &Value) -> Option<Phase> {
-    match value.get("phase")?.as_str()? {
-        "done" => Some(Phase::Done),
-        "withdrawn" => Some(Phase::Cancelled),
-        _ => None,
-    }
+/// Records of earlier versions tell no number of tasks.
+pub fn parse_terminal(value: &Value) -> Option<Standing> {
+    let phase = match value.get("phase")?.as_str()? {
+        "done" => Phase::Done,
+        "withdrawn" => Phase::Cancelled,
+        _ => return None,
+    };
+    let done = value.get("done").and_then(Value::as_u64).unwrap_or(0);
+    Some(Standing {
+        phase,
+        done: done as u32,
+    })
+}
+
+/// A drain as operators have ordered it: nothing new starts on the node.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct DrainRecord {
+    /// When it was ordered, by the time of day.
+    pub at_ms: u64,
+    /// When what still runs there is stopped in order, by the time of day.
+    #[serde(default)]
+    pub until_ms: Option<u64>,
+}
+
+/// A drain as a new leader finds it.
+#[derive(Debug, Clone)]
+pub struct StoredDrain {
+    pub node: String,
+    /// `None` if the record does not parse: the node drains, without a deadline.
+    pub record: Option<DrainRecord>,
+    /// How long until the deadline, by the time of day; negative once it has passed.
+    pub left_s: Option<f64>,
+    pub version: u64,
 }
 
 /// A machine that may have been given tasks: enough for the next leader to
@@ -90,6 +123,7 @@
     /// Bitmap chunks with their versions.
     pub progress: Vec<(JobId, u32, Vec<u8>, u64)>,
     pub roster: Vec<RosterPage>,
+    pub drains: Vec<StoredDrain>,
 }
 
 impl Snapshot {
--- a/src/bookkeeping/recovery.rs
+++ b/src/bookkeeping/recovery.rs
@@ -6,8 +6,8 @@
 
 use super::store::{Store, StoreError};
 use super::{
-    JOBS, MachineRecord, PROGRESS, ROSTER, RosterPage, Snapshot, StoredJob, bitmap,
-    parse_job_record,
+    DRAINS, DrainRecord, JOBS, MachineRecord, PROGRESS, ROSTER, RosterPage, Snapshot, StoredDrain,
+    StoredJob, bitmap, parse_job_record,
 };
 use crate::commands::{Command, Handle};
 use crate::coordination::core::Input;
@@ -65,6 +65,20 @@
             None => tracing::error!(key = item.key, "progress record does not parse"),
         }
     }
+    let (drains, _) = store.list(DRAINS).await?;
+    for item in drains {
+        let node = item.key[DRAINS.len()..].to_string();
+        let record: Option<DrainRecord> = serde_json::from_value(item.value)
+            .inspect_err(|error| tracing::error!(node, %error, "drain record does not parse"))
+            .ok();
+        let until_ms = record.and_then(|r| r.until_ms);
+        snapshot.drains.push(StoredDrain {
+            node,
+            record,
+            left_s: until_ms.map(|at| (at as f64 - unix_ms() as f64) / 1000.0),
+            version: item.version,
+        });
+    }
     let (jobs, revision) = store.list(JOBS).await?;
     for item in jobs {
         snapshot
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::protocol::JobId;
-use crate::protocol::job::Phase;
+use crate::protocol::job::{Phase, Standing};
 use crate::protocol::peer::{PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Changes, Conflict, Grant, Item, Page, Revision, Transaction};
 use crate::transport::budget::{Budget, Urgency};
@@ -382,23 +382,27 @@
 
     /// What the state service says of a job: `None` if it was never accepted.
     /// `cf/j/` first, see the module above.
-    pub async fn job_phase(&self, job: JobId) -> Result<Option<Phase>, StoreError> {
+    pub async fn standing(&self, job: JobId) -> Result<Option<Standing>, StoreError> {
         let urgency = Urgency::Low;
         let live = self.get(&job_key(job), urgency, true).await?;
         let terminal = self.terminal(job, urgency).await?;
-        Ok(terminal.or(live.map(|_| Phase::Pending)))
+        let pending = Standing {
+            phase: Phase::Pending,
+            done: 0,
+        };
+        Ok(terminal.or(live.map(|_| pending)))
     }
 
     pub async fn terminal(
         &self,
         job: JobId,
         urgency: Urgency,
-    ) -> Result<Option<Phase>, StoreError> {
+    ) -> Result<Option<Standing>, StoreError> {
         let key = terminal_key(job);
         match self.get(&key, urgency, true).await? {
             None => Ok(None),
             Some(item) => match parse_terminal(&item.value) {
-                Some(phase) => Ok(Some(phase)),
+                Some(end) => Ok(Some(end)),
                 None => {
                     tracing::error!(key, "stored final phase does not parse");
                     Err(StoreError::Unknown("unreadable record".into()))
--- a/src/bookkeeping/writer.rs
+++ b/src/bookkeeping/writer.rs
@@ -10,19 +10,25 @@
 use serde_json::Value;
 
 use crate::protocol::JobId;
-use crate::protocol::job::Phase;
+use crate::protocol::job::{Phase, Standing};
 use crate::protocol::state::{Change, Transaction};
 use crate::transport::budget::Urgency;
 
 use super::store::{Store, StoreError, put};
 use super::{
-    LEADER, job_key, parse_terminal, progress_key, roster_key, terminal_key, terminal_record,
+    DrainRecord, LEADER, drain_key, job_key, parse_terminal, progress_key, roster_key,
+    terminal_key, terminal_record,
 };
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum Write {
     /// The end of a job: its final phase appears, its description goes.
-    Finish { job: JobId, version: u64 },
+    Finish {
+        job: JobId,
+        version: u64,
+        /// All its tasks.
+        done: u32,
+    },
     Progress {
         job: JobId,
         chunk: u32,
@@ -39,6 +45,12 @@
         value: Value,
         version: u64,
     },
+    /// A drain that begins or changes (`Some`), or ends.
+    Drain {
+        node: String,
+        record: Option<DrainRecord>,
+        version: u64,
+    },
 }
 
 impl Write {
@@ -51,10 +63,10 @@
 
     fn add_to(&self, txn: &mut Transaction) {
         let (key, version, change) = match self {
-            Self::Finish { job, version } => {
+            Self::Finish { job, version, done } => {
                 txn.conditions.push((terminal_key(*job), 0));
                 txn.changes
-                    .push(put(terminal_key(*job), terminal_record(Phase::Done)));
+                    .push(put(terminal_key(*job), terminal_record(completed(*done))));
                 let key = job_key(*job);
                 (key.clone(), *version, Change::Delete { key })
             }
@@ -83,6 +95,18 @@
                 let key = roster_key(*page);
                 (key.clone(), *version, put(key, value.clone()))
             }
+            Self::Drain {
+                node,
+                record,
+                version,
+            } => {
+                let key = drain_key(node);
+                let change = match record {
+                    Some(r) => put(key.clone(), serde_json::to_value(r).expect("plain data")),
+                    None => Change::Delete { key: key.clone() },
+                };
+                (key, *version, change)
+            }
         };
         txn.conditions.push((key, version));
         txn.changes.push(change);
@@ -96,6 +120,7 @@
                 progress_key(*job, *chunk)
             }
             Self::Roster { page, .. } => roster_key(*page),
+            Self::Drain { node, .. } => drain_key(node),
         }
     }
 }
@@ -108,7 +133,15 @@
     /// Not stored, or not known to be: the key's version as read since.
     Again { version: u64 },
     /// Somebody else has ended the job.
-    Ended(Phase),
+    Ended(Standing),
+}
+
+/// The end of a job all of whose tasks are done.
+pub fn completed(done: u32) -> Standing {
+    Standing {
+        phase: Phase::Done,
+        done,
+    }
 }
 
 #[derive(Debug)]
@@ -142,7 +175,7 @@
                 .into_iter()
                 .map(|w| {
                     let version = match w {
-                        Write::DropProgress { .. } => 0,
+                        Write::DropProgress { .. } | Write::Drain { record: None, .. } => 0,
                         _ => revision,
                     };
                     (w, Written::Stored { version })
@@ -172,14 +205,16 @@
         };
         let written = match (&write, item) {
             (Write::Finish { .. }, Some(item)) => match parse_terminal(&item.value) {
-                Some(phase) => Written::Ended(phase),
+                Some(end) => Written::Ended(end),
                 None => {
                     tracing::error!(key = item.key, "stored final phase does not parse");
                     Written::Again { version: 0 }
                 }
             },
             (Write::Finish { version, .. }, None) => Written::Again { version: *version },
-            (Write::DropProgress { .. }, None) => Written::Stored { version: 0 },
+            (Write::DropProgress { .. } | Write::Drain { record: None, .. }, None) => {
+                Written::Stored { version: 0 }
+            }
             (_, item) => Written::Again {
                 version: item.map_or(0, |i| i.version),
             },
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -10,11 +10,14 @@
 use crate::coordination::core::{CancelBegin, Input};
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::Phase;
-use crate::protocol::peer::Lookup;
+use crate::protocol::job::Standing;
+use crate::protocol::peer::{Lookup, Order};
 use crate::protocol::worker::Report;
 use crate::transport::server::Outgoing;
 
+/// Status and JSON.
+pub type OperatorAnswer = (u16, Vec<u8>);
+
 #[derive(Debug)]
 pub enum Command {
     Hello {
@@ -32,12 +35,17 @@
     },
     SettleCancel {
         job: JobId,
-        phase: Option<Phase>,
+        end: Option<Standing>,
     },
     /// A final phase, stored, to be remembered.
     Ended {
         job: JobId,
-        phase: Phase,
+        end: Standing,
+    },
+    /// What an operator asks; `None` comes back from a node that does not lead.
+    Operate {
+        order: Order,
+        reply: oneshot::Sender<Option<OperatorAnswer>>,
     },
     AskTypes {
         reply: oneshot::Sender<Option<Arc<Vec<MachineType>>>>,
--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -188,6 +188,7 @@
         let machine = &self.machines[m];
         machine.synced
             && !machine.returning
+            && !machine.draining
             && !machine.strays
             && machine.recorded
             && machine.reclaim_at.is_none()
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -9,16 +9,16 @@
 use crate::bookkeeping::{Snapshot, StoredJob, bitmap};
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::{Amounts, JobSpec, Kind, Phase};
+use crate::protocol::job::{Amounts, JobSpec, Kind, Phase, Priority, Standing};
 use crate::protocol::peer::Lookup;
 use crate::protocol::worker::Verb;
-use crate::settings::Objective;
+use crate::settings::{Objective, Tuning};
 
 use super::auction::Group;
 pub use super::messages::*;
 use super::model::*;
 pub use super::state::{Config, Core, TeamUse};
-use super::state::{Fleet, Roster, WINDOW_S};
+use super::state::{Fleet, Relocations, Roster, WINDOW_S};
 
 /// How long a job's done bits may wait to be stored together.
 const PROGRESS_EVERY_S: f64 = 2.0;
@@ -86,9 +86,14 @@
             next_batch: now,
             next_second: now,
             move_credit: 0.0,
+            relocations: Relocations::default(),
+            drains: BTreeMap::new(),
             settled: false,
         };
         core.types.update(types);
+        for drain in snapshot.drains {
+            core.restore_drain(drain);
+        }
         for job in snapshot.jobs {
             core.add_job(job);
         }
@@ -119,7 +124,13 @@
         if self.now >= self.next_second {
             self.next_second = self.now + 1.0;
             self.every_second();
-            self.move_replicas();
+            self.watch_relocations();
+            self.tend_drains();
+            if self.config.tuning.defragmentation.enabled {
+                self.free_whole_machines();
+            } else {
+                self.move_replicas();
+            }
             self.log_demand();
         }
         self.flush_commands();
@@ -141,8 +152,8 @@
 
     /// What users are told of a job. Only for a leader whose lease is good.
     pub fn lookup(&self, id: JobId) -> Lookup {
-        if let Some(&phase) = self.over.get(&id) {
-            return Lookup::Terminal(phase);
+        if let Some(&end) = self.over.get(&id) {
+            return Lookup::Terminal(end);
         }
         match self.job_ids.get(&id).map(|&ix| &self.jobs[ix]) {
             Some(job) if job.state == JobState::Live => Lookup::Live {
@@ -172,7 +183,12 @@
                 let begin = self.begin_cancel(job);
                 self.effects.push(Effect::Cancel { ticket, begin });
             }
-            Input::CancelSettled { job, phase } => self.settle_cancel(job, phase),
+            Input::CancelSettled { job, end } => self.settle_cancel(job, end),
+            Input::Operate {
+                ticket,
+                order,
+                unix_ms,
+            } => self.operate(ticket, order, unix_ms),
             Input::Written(results) => self.take_written(results),
             Input::Types(types) => self.learn_types(types),
             Input::Listed(list) => self.take_listed(list),
@@ -305,6 +321,8 @@
             entries: 0,
             entitled: false,
             warned_at: 0.0,
+            movable: movable(&self.config.tuning, &spec),
+            protected: protected(&self.config.tuning, &spec),
             spec,
         };
         let ix = self.jobs.insert(job);
@@ -360,28 +378,30 @@
     }
 
     pub(super) fn begin_cancel(&mut self, id: JobId) -> CancelBegin {
-        if let Some(&phase) = self.over.get(&id) {
-            return CancelBegin::Over(phase);
+        if let Some(&end) = self.over.get(&id) {
+            return CancelBegin::Over(end);
         }
         let Some(&ix) = self.job_ids.get(&id) else {
             self.cancel_early.insert(id);
-            return CancelBegin::Go;
+            return CancelBegin::Go { done: 0 };
         };
         match self.jobs[ix].state {
-            JobState::Over(phase) => CancelBegin::Over(phase),
+            JobState::Over(end) => CancelBegin::Over(end),
             JobState::Finishing => CancelBegin::Busy,
             JobState::Live | JobState::Cancelling => {
                 self.jobs[ix].state = JobState::Cancelling;
                 self.drop_queued(ix);
-                CancelBegin::Go
+                CancelBegin::Go {
+                    done: self.jobs[ix].done,
+                }
             }
         }
     }
 
-    pub(super) fn settle_cancel(&mut self, id: JobId, phase: Option<Phase>) {
+    pub(super) fn settle_cancel(&mut self, id: JobId, end: Option<Standing>) {
         self.cancel_early.remove(&id);
-        match phase {
-            Some(phase) => self.end_job(id, phase),
+        match end {
+            Some(end) => self.end_job(id, end),
             // It was never accepted, so there is nothing to hold back.
             None => {
                 if let Some(&ix) = self.job_ids.get(&id)
@@ -395,20 +415,20 @@
     }
 
     /// The stored end of a job: nothing of it runs any more.
-    pub(super) fn end_job(&mut self, id: JobId, phase: Phase) {
-        self.over.insert(id, phase);
+    pub(super) fn end_job(&mut self, id: JobId, end: Standing) {
+        self.over.insert(id, end);
         let Some(&ix) = self.job_ids.get(&id) else {
             return;
         };
         let job = &mut self.jobs[ix];
-        job.state = JobState::Over(phase);
+        job.state = JobState::Over(end);
         let chunks: Vec<(u32, u64)> = (0u32..).zip(job.chunks.iter().copied()).collect();
         for (chunk, version) in chunks {
             if version > 0 {
                 self.drop_progress.push_back((id, chunk, version));
             }
         }
-        tracing::info!(job = %id, phase = phase.spelling(), "job over");
+        tracing::info!(job = %id, phase = end.phase.spelling(), "job over");
         if self.jobs[ix].entries == 0 {
             self.free_if_over(ix);
             return;
@@ -513,6 +533,20 @@
     }
 }
 
+/// What an operator is asked about before it is disturbed: services of the highest rank,
+/// and classes that the settings protect.
+fn protected(tuning: &Tuning, spec: &JobSpec) -> bool {
+    (spec.kind == Kind::Service && spec.priority == Priority::Production)
+        || tuning.class.get(&spec.class).is_some_and(|c| c.protected)
+}
+
+/// Whether a job's tasks may be moved while they run: the stricter of its own mark and
+/// its class's counts, and what is protected never moves.
+fn movable(tuning: &Tuning, spec: &JobSpec) -> bool {
+    let class = tuning.class.get(&spec.class).and_then(|c| c.movable);
+    spec.movable != Some(false) && class != Some(false) && !protected(tuning, spec)
+}
+
 /// How long after its submission finishing a job is still worth most.
 fn worthwhile_s(objectives: &[Objective], spec: &JobSpec) -> f64 {
     objectives
--- /dev/null
+++ b/src/coordination/drains.rs
@@ -0,0 +1,384 @@
+//! Drains, and what else operators ask of the leader.
+//!
+//! Nothing new starts on a node that drains. What may move moves, the rest runs to its
+//! end, or is stopped in order once the deadline has passed. A drain counts at once,
+//! since to start less breaks nothing, and its operator is answered when it is stored;
+//! the end of a drain counts once it is stored.
+
+use copperfield_operators::views;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::bookkeeping::writer::{Write, Written};
+use crate::bookkeeping::{DrainRecord, StoredDrain};
+use crate::protocol::peer::Order;
+
+use super::messages::Effect;
+use super::model::*;
+use super::relocation::amounts;
+use super::state::{Core, Drain};
+
+/// Nodes, moves or jobs in one answer, which stays well under 64 KiB.
+const PAGE: usize = 100;
+
+impl Core {
+    pub(super) fn restore_drain(&mut self, stored: StoredDrain) {
+        if let Some(&m) = self.machine_ids.get(&stored.node) {
+            self.machines[m].draining = true;
+        }
+        let drain = Drain {
+            // One that cannot be read drains on, and is written anew if anyone changes it.
+            record: Some(stored.record.unwrap_or(DrainRecord {
+                at_ms: 0,
+                until_ms: None,
+            })),
+            until: stored.left_s.map(|s| self.now + s),
+            version: stored.version,
+            ..Drain::default()
+        };
+        self.drains.insert(stored.node, drain);
+    }
+
+    pub(super) fn operate(&mut self, ticket: u64, order: Order, unix_ms: u64) {
+        match order {
+            Order::Nodes { since } => {
+                let nodes = self.nodes(&since);
+                self.answer(ticket, 200, &nodes);
+            }
+            Order::Moves => {
+                let moves = self.moves_view();
+                self.answer(ticket, 200, &moves);
+            }
+            Order::Drain {
+                node,
+                deadline_s,
+                yes,
+            } => self.drain(ticket, node, deadline_s, yes, unix_ms),
+            Order::Undrain { node } => self.undrain(ticket, &node),
+        }
+    }
+
+    fn answer(&mut self, ticket: u64, status: u16, value: &impl Serialize) {
+        self.effects.push(Effect::Operated {
+            ticket,
+            status,
+            body: serde_json::to_vec(value).expect("plain data"),
+        });
+    }
+
+    fn no_such_node(&mut self, ticket: u64, node: &str) {
+        let error = json!({"error": format!("there is no node {node:?}")});
+        self.answer(ticket, 404, &error);
+    }
+
+    fn drain(
+        &mut self,
+        ticket: u64,
+        node: String,
+        deadline_s: Option<f64>,
+        yes: bool,
+        unix_ms: u64,
+    ) {
+        let Some(&m) = self.machine_ids.get(&node) else {
+            return self.no_such_node(ticket, &node);
+        };
+        let protected = self.protected_on(m);
+        if !protected.is_empty() && !yes {
+            let error = format!("{node} holds tasks of a protected class");
+            let protected = protected.into_iter().take(PAGE).collect();
+            return self.answer(ticket, 409, &views::Confirm { error, protected });
+        }
+        tracing::info!(node, ?deadline_s, "drain");
+        let now = self.now;
+        let drain = self.drains.entry(node).or_default();
+        let at_ms = drain.record.map_or(unix_ms, |r| r.at_ms);
+        let record = DrainRecord {
+            at_ms,
+            until_ms: deadline_s.map(|s| unix_ms + (s * 1000.0) as u64),
+        };
+        // The same once more, without a deadline that moves on, changes nothing.
+        let same = drain.version > 0 && !drain.writing && drain.record == Some(record);
+        drain.record = Some(record);
+        drain.until = deadline_s.map(|s| now + s);
+        drain.waiters.push(ticket);
+        drain.due |= !same;
+        self.machines[m].draining = true;
+        let keys: Vec<CopyKey> = self.machines[m].copies.keys().copied().collect();
+        for key in keys {
+            if self.machines[m]
+                .copies
+                .get(&key)
+                .is_some_and(|c| c.sent == Sent::Queued)
+            {
+                self.unqueue(m, key);
+                self.gang_lost_task(key);
+            }
+        }
+        if same {
+            let name = self.machines[m].name.clone();
+            self.answer_waiters(&name);
+        }
+    }
+
+    fn undrain(&mut self, ticket: u64, node: &str) {
+        if let Some(drain) = self.drains.get_mut(node) {
+            tracing::info!(node, "drain ends");
+            drain.record = None;
+            drain.until = None;
+            drain.due = true;
+            drain.waiters.push(ticket);
+        } else if let Some(&m) = self.machine_ids.get(node) {
+            let node = self.node(m);
+            self.answer(ticket, 200, &node);
+        } else {
+            self.no_such_node(ticket, node);
+        }
+    }
+
+    /// The machine is gone for good, and its name with it.
+    pub(super) fn forget_drain(&mut self, node: &str) {
+        if let Some(drain) = self.drains.get_mut(node) {
+            drain.record = None;
+            drain.until = None;
+            drain.due = true;
+        }
+    }
+
+    pub(super) fn drain_writes(&mut self, batch: &mut Vec<Write>, most: usize, ops: &mut usize) {
+        for (node, drain) in &mut self.drains {
+            if *ops >= most {
+                return;
+            }
+            if drain.due && !drain.writing {
+                drain.due = false;
+                drain.writing = true;
+                *ops += 1;
+                batch.push(Write::Drain {
+                    node: node.clone(),
+                    record: drain.record,
+                    version: drain.version,
+                });
+            }
+        }
+    }
+
+    pub(super) fn drain_written(
+        &mut self,
+        node: String,
+        record: Option<DrainRecord>,
+        written: &Written,
+    ) {
+        let Some(drain) = self.drains.get_mut(&node) else {
+            return;
+        };
+        drain.writing = false;
+        match written {
+            Written::Stored { version } => drain.version = *version,
+            Written::Again { version } => {
+                drain.version = *version;
+                drain.due = true;
+            }
+            Written::Ended(_) => {}
+        }
+        // Ordered otherwise meanwhile, or not stored: what is due answers later.
+        if drain.due || drain.record != record {
+            return;
+        }
+        if record.is_none() {
+            if let Some(&m) = self.machine_ids.get(&node) {
+                self.machines[m].draining = false;
+            }
+            let waiters = self.drains.remove(&node).map(|d| d.waiters);
+            for ticket in waiters.unwrap_or_default() {
+                self.answer_node(ticket, &node);
+            }
+        } else {
+            self.answer_waiters(&node);
+        }
+    }
+
+    fn answer_waiters(&mut self, node: &str) {
+        let waiters = self
+            .drains
+            .get_mut(node)
+            .map(|d| std::mem::take(&mut d.waiters));
+        for ticket in waiters.unwrap_or_default() {
+            self.answer_node(ticket, node);
+        }
+    }
+
+    fn answer_node(&mut self, ticket: u64, node: &str) {
+        let node = match self.machine_ids.get(node) {
+            Some(&m) => self.node(m),
+            None => lost(node),
+        };
+        self.answer(ticket, 200, &node);
+    }
+
+    /// Once a second: moves work off draining nodes, and stops what is left at the deadline.
+    pub(super) fn tend_drains(&mut self) {
+        let draining: Vec<(u32, Option<Time>)> = self
+            .drains
+            .iter()
+            .filter(|(_, d)| d.record.is_some())
+            .filter_map(|(name, d)| Some((*self.machine_ids.get(name)?, d.until)))
+            .collect();
+        for (m, until) in draining {
+            if until.is_some_and(|t| t <= self.now) {
+                let keys: Vec<CopyKey> = self.machines[m].copies.keys().copied().collect();
+                for key in keys {
+                    let copy = self.machines[m].copies.get(&key);
+                    if copy.is_some_and(|c| c.possible() && c.stop.is_none()) {
+                        self.stop_in_order(m, key);
+                    }
+                }
+            } else if !self.is_silent(m) {
+                self.evacuate(m);
+            }
+        }
+    }
+
+    fn protected_on(&self, m: u32) -> Vec<String> {
+        let copies = self.machines[m].copies.iter();
+        let mut jobs: Vec<u32> = copies
+            .filter(|(k, c)| c.possible() && self.jobs[k.job].protected)
+            .map(|(k, _)| k.job)
+            .collect();
+        jobs.dedup();
+        let name = |ix: u32| {
+            let spec = &self.jobs[ix].spec;
+            format!("{} ({})", spec.id, spec.class)
+        };
+        jobs.into_iter().map(name).collect()
+    }
+
+    fn nodes(&self, since: &str) -> views::Nodes {
+        let known = self.machine_ids.keys().map(String::as_str);
+        let unknown = self.drains.keys().map(String::as_str);
+        let unknown = unknown.filter(|n| !self.machine_ids.contains_key(*n));
+        let mut names: Vec<&str> = known.chain(unknown).filter(|n| *n > since).collect();
+        names.sort_unstable();
+        let more = names.len() > PAGE;
+        names.truncate(PAGE);
+        let node = |name: &str| match self.machine_ids.get(name) {
+            Some(&m) => self.node(m),
+            None => lost(name),
+        };
+        views::Nodes {
+            nodes: names.into_iter().map(node).collect(),
+            more,
+        }
+    }
+
+    fn node(&self, m: u32) -> views::Node {
+        let machine = &self.machines[m];
+        let possible = || machine.copies.iter().filter(|(_, c)| c.possible());
+        let state = if machine.returning {
+            views::NodeState::Returning
+        } else if machine.session <= machine.dead_session {
+            views::NodeState::Lost
+        } else if self.is_silent(m) {
+            views::NodeState::Late
+        } else if machine.draining && possible().next().is_none() {
+            views::NodeState::Drained
+        } else if machine.draining {
+            views::NodeState::Draining
+        } else if machine.reclaim_at.is_some() {
+            views::NodeState::Reclaimed
+        } else if machine.quarantined_until > self.now {
+            views::NodeState::Quarantined
+        } else {
+            views::NodeState::Ready
+        };
+        let all = self.types.get(machine.kind).map(|t| t.whole);
+        let all = amounts(&all.unwrap_or_default());
+        let used = amounts(&machine.used);
+        let share = |d: usize| views::Share {
+            used: used[d],
+            all: all[d],
+        };
+        let until = self.drains.get(&machine.name).and_then(|d| d.until);
+        views::Node {
+            name: machine.name.clone(),
+            machine_type: self.types.names.name(machine.kind).to_string(),
+            zone: self.zones.name(machine.zone).to_string(),
+            spot: machine.spot,
+            state,
+            tasks: possible().count() as u32,
+            protected: possible()
+                .filter(|(k, _)| self.jobs[k.job].protected)
+                .count() as u32,
+            leaving: self.leaving(&machine.name),
+            cpus: share(0),
+            gpus: share(1),
+            memory_gb: share(2),
+            deadline_s: until.map(|t| (t - self.now).max(0.0)),
+            heard_s: machine.heard_at.map(|t| self.now - t),
+        }
+    }
+
+    fn moves_view(&self) -> views::Moves {
+        let moves = &self.relocations;
+        let view = |r: &super::state::Relocation, state: &str| views::Move {
+            task: format!("{}/{}", r.id, r.key.task),
+            from: r.from.clone(),
+            to: r.to.clone(),
+            purpose: r.wanted_by.map_or("drain".into(), |id| id.to_string()),
+            state: state.to_string(),
+            age_s: self.now - r.began,
+        };
+        let waiting = |(id, reason): (&crate::protocol::JobId, &String)| {
+            let job = &self.jobs[*self.job_ids.get(id)?];
+            Some(views::Waiting {
+                job: format!("{id} ({})", job.spec.class),
+                tasks: job.waiting(),
+                waited_s: self.now - job.seen_at,
+                reason: reason.clone(),
+            })
+        };
+        views::Moves {
+            enabled: self.config.tuning.defragmentation.enabled,
+            live: moves
+                .live
+                .iter()
+                .take(PAGE)
+                .map(|r| view(r, Self::stage(r)))
+                .collect(),
+            recent: moves
+                .recent
+                .iter()
+                .rev()
+                .map(|(r, end)| view(r, end))
+                .collect(),
+            waiting: moves
+                .reasons
+                .iter()
+                .take(PAGE)
+                .filter_map(waiting)
+                .collect(),
+        }
+    }
+}
+
+/// A node that drains and that this leader has not heard of.
+fn lost(name: &str) -> views::Node {
+    let nothing = views::Share {
+        used: 0.0,
+        all: 0.0,
+    };
+    views::Node {
+        name: name.to_string(),
+        machine_type: "-".into(),
+        zone: "-".into(),
+        spot: false,
+        state: views::NodeState::Lost,
+        tasks: 0,
+        protected: 0,
+        leaving: 0,
+        cpus: nothing,
+        gpus: nothing,
+        memory_gb: nothing,
+        deadline_s: None,
+        heard_s: None,
+    }
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -130,6 +130,7 @@
             self.clear_machine(m);
             self.strike(m);
             self.machines.remove(m);
+            self.forget_drain(&name);
         }
     }
 
@@ -304,7 +305,7 @@
         };
         for (_, m) in self.machines.iter_mut() {
             let empty = m.copies.is_empty() && !m.strays && m.flight.is_none();
-            if empty && !waiting && m.idle_since.is_some_and(|t| now - t > idle_s) {
+            if empty && !waiting && !m.draining && m.idle_since.is_some_and(|t| now - t > idle_s) {
                 m.returning = true;
             }
             let sick = m.quarantined_until > now && m.quarantines >= 2;
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -4,7 +4,8 @@
 use crate::bookkeeping::writer::{Write, Written};
 use crate::protocol::JobId;
 use crate::protocol::cloud::{Listed, MachineType};
-use crate::protocol::job::Phase;
+use crate::protocol::job::Standing;
+use crate::protocol::peer::Order;
 use crate::protocol::worker::{Command, Report};
 
 #[derive(Debug)]
@@ -26,7 +27,13 @@
     },
     CancelSettled {
         job: JobId,
-        phase: Option<Phase>,
+        end: Option<Standing>,
+    },
+    Operate {
+        ticket: u64,
+        order: Order,
+        /// The time of day, for what is stored.
+        unix_ms: u64,
     },
     Written(Vec<(Write, Written)>),
     Types(Vec<MachineType>),
@@ -64,11 +71,14 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CancelBegin {
-    Over(Phase),
+    Over(Standing),
     /// Its end is just being stored.
     Busy,
-    /// Nothing of it is started any more; store the cancellation.
-    Go,
+    /// Nothing of it is started any more; store the cancellation, and how many of its
+    /// tasks were done.
+    Go {
+        done: u32,
+    },
 }
 
 #[derive(Debug, PartialEq)]
@@ -110,6 +120,12 @@
         ticket: u64,
         begin: CancelBegin,
     },
+    /// Answer an operator.
+    Operated {
+        ticket: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
     /// A worker has seen a higher token than ours.
     Deposed,
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,12 +3,13 @@
 //! `election` holds the leader key; `core` is the leader's sans-IO state
 //! machine. `messages` are what goes into it and comes out, `model` and `state`
 //! what it keeps; the other modules each own a part of what it does: copies,
-//! reports, what is stored, the market, gangs, preemption, moves, the fleet and
-//! its roster.
+//! reports, what is stored, the market, gangs, preemption, moves, drains, the fleet
+//! and its roster.
 
 pub mod auction;
 mod copies;
 pub mod core;
+mod drains;
 pub mod election;
 mod fleet;
 mod forecast;
@@ -18,6 +19,7 @@
 mod moves;
 mod placement;
 mod preemption;
+mod relocation;
 mod reports;
 mod roster;
 mod state;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -4,7 +4,7 @@
 
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::{Amounts, JobSpec, Kind, Phase, Priority};
+use crate::protocol::job::{Amounts, JobSpec, Kind, Priority, Standing};
 use crate::protocol::worker::{Command, Exit, TaskPhase};
 
 /// Seconds on this node's steady clock.
@@ -63,7 +63,7 @@
     /// Its user has asked to cancel it; nothing new is started.
     Cancelling,
     /// Over, and stored so. Kept while a machine may still hold something of it.
-    Over(Phase),
+    Over(Standing),
 }
 
 #[derive(Debug)]
@@ -121,6 +121,10 @@
     pub entries: u32,
     pub entitled: bool,
     pub warned_at: Time,
+    /// By its own mark and its class's, the stricter: its tasks may be moved.
+    pub movable: bool,
+    /// An operator is asked before a drain disturbs it.
+    pub protected: bool,
 }
 
 impl Job {
@@ -238,6 +242,8 @@
     pub job: u32,
     pub count: u32,
     pub until: Time,
+    /// Of a move: kept although no task of the job waits yet.
+    pub held: bool,
 }
 
 /// A kind of task that takes most of a machine. Such jobs come again and
@@ -292,6 +298,8 @@
     pub quarantined_until: Time,
     pub quarantines: u32,
     pub returning: bool,
+    /// An operator wants nothing new on it.
+    pub draining: bool,
     pub idle_since: Option<Time>,
     pub next_probe: Time,
     /// When it first failed to answer since it was last heard.
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -39,7 +39,7 @@
                     && c.until > now
                     && jobs
                         .get(c.job)
-                        .is_some_and(|j| j.state == JobState::Live && j.waiting() > 0)
+                        .is_some_and(|j| j.state == JobState::Live && (c.held || j.waiting() > 0))
             });
         }
     }
@@ -413,6 +413,7 @@
                 job: ix,
                 count: 1,
                 until,
+                held: false,
             }),
         }
     }
--- /dev/null
+++ b/src/coordination/relocation.rs
@@ -0,0 +1,511 @@
+//! Work that moves so that whole machines come free, or so that a node empties.
+//!
+//! `copperfield_defrag` plans; this carries out. A move claims its target, stops the
+//! task in order, and waits until the old copy is surely gone. Then the task waits
+//! like any other, and the claim brings it to its target with a new attempt. So a
+//! move adds no way for a task to start: whatever fails on the way, the rules are
+//! kept by the same checks as ever (`copies`). Nothing of a move is stored: a new
+//! leader finds the task where it is, saving, or nowhere, and goes on from there.
+
+use std::collections::BTreeMap;
+
+use copperfield_defrag as defrag;
+use copperfield_protocol::job::Amounts;
+
+use crate::protocol::JobId;
+use crate::protocol::worker::TaskPhase;
+
+use super::gangs::grace_to_save;
+use super::model::*;
+use super::state::{Core, Relocation};
+
+/// What ends by itself within so many seconds is not moved.
+const SOON_S: f64 = 5.0;
+/// How long a move takes beside saving and fetching.
+const MOVE_S: f64 = 1.0;
+/// A start counts as one only if the task is left alone for half a minute.
+const SETTLED_S: f64 = 35.0;
+/// From an order to the proof that it was carried out, beside the time to save: a
+/// report, and a message that is sent again.
+const PROOF_S: f64 = 4.0;
+/// From the proof until the task is seen at its target, beside the fetch.
+const ARRIVAL_S: f64 = 10.0;
+/// Jobs that are planned for in one second.
+const WANTS: usize = 3;
+/// Moves for one job that came to nothing, before nothing more is moved for it.
+const TRIES: u32 = 6;
+/// The first pause after moves that came to nothing; it doubles each time.
+const PAUSE_S: f64 = 10.0;
+/// Ended moves that operators can look at.
+const RECENT: usize = 50;
+
+/// The fleet as the planner sees it, and which indices are whose.
+struct View {
+    fleet: defrag::Fleet,
+    machines: Vec<u32>,
+    copies: Vec<CopyKey>,
+}
+
+impl Core {
+    /// Once a second: moves what may move off the machines that the most important
+    /// whole-machine jobs wait for.
+    pub(super) fn free_whole_machines(&mut self) {
+        let now = self.now;
+        let mut wants: Vec<(f64, u32)> = self
+            .jobs
+            .iter()
+            .filter(|(ix, j)| {
+                j.state == JobState::Live
+                    && j.shape.is_some()
+                    && !j.blocked
+                    && j.unplaced_since.is_some_and(|t| now - t > 1.0)
+                    && !self.is_mistaken(*ix)
+            })
+            .map(|(ix, _)| (self.weight(ix), ix))
+            .collect();
+        wants.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let waiting: Vec<JobId> = wants.iter().map(|&(_, ix)| self.jobs[ix].spec.id).collect();
+        let moves = &mut self.relocations;
+        moves.reasons.retain(|id, _| waiting.contains(id));
+        moves.patience.retain(|id, _| waiting.contains(id));
+        let mut planned = 0;
+        for (_, ix) in wants {
+            if planned == WANTS {
+                break;
+            }
+            let id = self.jobs[ix].spec.id;
+            let (tries, next) = self
+                .relocations
+                .patience
+                .get(&id)
+                .copied()
+                .unwrap_or_default();
+            let reason = if tries >= TRIES {
+                "moves for it came to nothing too often".to_string()
+            } else if next > now {
+                "moves for it came to nothing; they are tried again later".to_string()
+            } else {
+                planned += 1;
+                match self.free_for(ix) {
+                    Ok(moves) => format!("{moves} moves are under way"),
+                    Err(reason) => reason,
+                }
+            };
+            self.relocations.reasons.insert(id, reason);
+        }
+    }
+
+    /// Plans and begins the moves for one job. Returns how many there are now.
+    fn free_for(&mut self, ix: u32) -> Result<usize, String> {
+        let job = &self.jobs[ix];
+        let id = job.spec.id;
+        let whole = self.is_whole_gang(ix);
+        let missing = job.waiting().min(self.canaries(ix));
+        let missing = missing.saturating_sub(self.claimed(ix));
+        let under_way = |core: &Self| {
+            let live = core.relocations.live.iter();
+            live.filter(|r| r.wanted_by == Some(id)).count()
+        };
+        if missing == 0 {
+            return match under_way(self) {
+                0 => Err("room for it is claimed and comes free".into()),
+                moves => Ok(moves),
+            };
+        }
+        if whole && job.active > 0 {
+            return Err("tasks of its last attempt have not ended yet".into());
+        }
+        if !self.team_allows(job.team, &job.spec.needs) {
+            return Err("its team has reached its limit".into());
+        }
+        let want = self.want(ix, missing, whole).ok_or("no machine suits it")?;
+        let limits = self.limits();
+        if limits.moves == 0 {
+            return Err("as many moves are under way as may be".into());
+        }
+        let view = self.view(Some(ix));
+        let plan = defrag::free(&view.fleet, &want, &limits).map_err(|r| r.to_string())?;
+        tracing::info!(
+            job = %id,
+            machines = plan.frees.len(),
+            moves = plan.moves.len(),
+            lost_s = plan.lost_s,
+            cost = plan.cost,
+            "whole machines are freed"
+        );
+        let longest = plan
+            .moves
+            .iter()
+            .map(|mv| self.stop_s(view.copies[mv.copy as usize].job))
+            .fold(SOON_S, f64::max);
+        for &m in plan.frees.iter().chain(&plan.free_already) {
+            self.claim(view.machines[m as usize], ix, longest + ARRIVAL_S);
+        }
+        self.begin(&view, &plan.moves, Some(id));
+        Ok(under_way(self))
+    }
+
+    /// What a job wants of the planner; `None` if no known machine suits it.
+    fn want(&self, ix: u32, tasks: u32, whole: bool) -> Option<defrag::Want> {
+        let job = &self.jobs[ix];
+        let tuning = &self.config.tuning;
+        let place_price = (0u32..)
+            .zip(&self.types.known)
+            .filter(|(k, _)| job.types.as_ref().is_none_or(|l| l.contains(k)))
+            .filter_map(|(_, t)| t.as_ref())
+            .filter(|t| job.spec.needs.fits_in(&t.whole))
+            .map(|t| t.price / 3600.0 * tuning.owned_price * job.spec.needs.share_of(&t.whole))
+            .reduce(f64::min)?;
+        let mut by_zone = self.claimed_by_zone(ix);
+        for (z, n) in job.by_zone.iter().enumerate() {
+            by_zone[z] += n;
+        }
+        Some(defrag::Want {
+            needs: job.spec.needs,
+            tasks,
+            one_zone: job.spec.one_zone,
+            zone_cap: job.zone_cap(),
+            by_zone,
+            kinds: job.types.clone(),
+            zone: job.zone,
+            spot: job.spec.spot,
+            whole,
+            worth: self.weight(ix) * place_price * tuning.defragmentation.worth_s,
+        })
+    }
+
+    fn limits(&self) -> defrag::Limits {
+        let most = self.config.tuning.defragmentation.most_moves as usize;
+        defrag::Limits {
+            moves: most.saturating_sub(self.relocations.live.len()),
+            soon_s: SOON_S,
+            move_s: MOVE_S,
+        }
+    }
+
+    /// The fleet for a plan: for a job that waits, or for a node that drains.
+    fn view(&self, want: Option<u32>) -> View {
+        let now = self.now;
+        let shape = want.and_then(|ix| self.jobs[ix].shape);
+        let mut view = View {
+            fleet: defrag::Fleet::default(),
+            machines: Vec::new(),
+            copies: Vec::new(),
+        };
+        let mut dense: BTreeMap<u32, u32> = BTreeMap::new();
+        let mut away: BTreeMap<JobId, u32> = BTreeMap::new();
+        for r in &self.relocations.live {
+            *away.entry(r.id).or_default() += 1;
+        }
+        let mut avoid: BTreeMap<u32, Vec<u32>> = BTreeMap::new();
+        for (m, machine) in self.machines.iter() {
+            let Some(kind) = self.types.get(machine.kind) else {
+                continue;
+            };
+            let at = view.machines.len() as u32;
+            view.machines.push(m);
+            let usable = self.machine_usable(m);
+            let own = machine.kept_for.is_some() && machine.kept_for == shape;
+            let unclaimed = machine.claims.is_empty();
+            let price = if machine.spot {
+                kind.spot_price
+            } else {
+                kind.price * self.config.tuning.owned_price
+            };
+            view.fleet.machines.push(defrag::Machine {
+                zone: machine.zone,
+                kind: machine.kind,
+                spot: machine.spot,
+                // What is kept whole for the job takes nothing else in.
+                receives: usable && !own,
+                frees: usable && unclaimed && (own || machine.kept_for.is_none()),
+                whole: kind.whole,
+                room: if own && unclaimed {
+                    self.free_room(m)
+                } else {
+                    self.room_after_claims(m, u32::MAX)
+                },
+                price: price / 3600.0,
+                fetch_gb_per_s: kind.fetch_gb_per_s,
+                images: machine.images.clone(),
+            });
+            for (&job, _) in machine.failed.iter().filter(|(_, t)| **t > now) {
+                avoid.entry(job).or_default().push(at);
+            }
+            for (key, copy) in machine.copies.iter().filter(|(_, c)| c.possible()) {
+                let work = *dense.entry(key.job).or_insert_with(|| {
+                    let away = away.get(&self.jobs[key.job].spec.id).copied();
+                    view.fleet.works.push(self.work(key.job, away.unwrap_or(0)));
+                    view.fleet.works.len() as u32 - 1
+                });
+                let (ends_in_s, lost_s) = self.prospects(key, copy);
+                view.fleet.copies.push(defrag::Copy {
+                    machine: at,
+                    work,
+                    movable: self.may_move(key, copy, lost_s, machine.draining),
+                    ends_in_s,
+                    lost_s,
+                });
+                view.copies.push(*key);
+            }
+        }
+        for (job, machines) in avoid {
+            if let Some(&work) = dense.get(&job) {
+                view.fleet.works[work as usize].avoid = machines;
+            }
+        }
+        view
+    }
+
+    fn work(&self, ix: u32, away: u32) -> defrag::Work {
+        let job = &self.jobs[ix];
+        let share = self.config.tuning.defragmentation.away_share;
+        let gang = self.is_whole_gang(ix);
+        let most = if gang {
+            job.spec.tasks
+        } else {
+            (f64::from(job.active) * share).floor().max(1.0) as u32
+        };
+        defrag::Work {
+            needs: job.spec.needs,
+            weight: self.weight(ix),
+            kinds: job.types.clone(),
+            zone: job.zone,
+            spot: job.spec.spot,
+            one_zone: job.spec.one_zone,
+            zone_cap: job.zone_cap(),
+            by_zone: job.by_zone.clone(),
+            image: job.image,
+            image_gb: job.spec.image_gb,
+            gang,
+            may_leave: most.saturating_sub(away),
+            avoid: Vec::new(),
+        }
+    }
+
+    /// In how many seconds a copy ends by itself, and how many seconds of its work a
+    /// stop would lose.
+    fn prospects(&self, key: &CopyKey, copy: &Copy) -> (f64, f64) {
+        let job = &self.jobs[key.job];
+        if copy.stop.is_some() {
+            return (0.0, 0.0);
+        }
+        if job.is_service() {
+            return (f64::INFINITY, 0.0);
+        }
+        let ran = copy.running_since.map_or(0.0, |t| self.now - t);
+        // One that has run for longer than was thought may run on for a while.
+        let left = (job.work_s() - ran).max(job.work_s() * 0.1);
+        let lost = if job.spec.checkpoint_s > 0.0 {
+            job.spec.save_s
+        } else {
+            ran
+        };
+        (left, lost)
+    }
+
+    /// Whether a copy may be moved now. A node that drains does not wait for a start to
+    /// have lasted; everything else holds for it too.
+    fn may_move(&self, key: &CopyKey, copy: &Copy, lost_s: f64, drains: bool) -> bool {
+        let job = &self.jobs[key.job];
+        let settings = &self.config.tuning.defragmentation;
+        let saves = job.spec.checkpoint_s > 0.0;
+        let settled = copy.running_since.is_some_and(|t| self.now - t > SETTLED_S);
+        let has_aim = !job.start_by.is_empty() && job.patience_s < 120.0;
+        let again = self.relocations.moved_at.get(&(job.spec.id, key.task));
+        job.movable
+            && job.state == JobState::Live
+            && !job.blocked
+            // What of it waits would take the target before the task comes there.
+            && job.waiting() == 0
+            && copy.phase == Some(TaskPhase::Running)
+            && copy.sent == Sent::Seen
+            && !copy.loose
+            && copy.stop.is_none()
+            && (drains || settled || !(has_aim || job.is_service()))
+            && (job.is_service() || saves || lost_s < settings.lost_work_s)
+            && again.is_none_or(|t| self.now - t > settings.again_after_s)
+    }
+
+    /// From the order to stop a task of a job until it is surely gone.
+    fn stop_s(&self, ix: u32) -> f64 {
+        let workers = &self.config.cluster.workers;
+        let gang_s = if self.is_whole_gang(ix) {
+            grace_to_save(self.jobs[ix].spec.save_s) + workers.gang_peer_s
+        } else {
+            self.grace_of(ix)
+        };
+        gang_s + workers.report_s * 1.25 + PROOF_S
+    }
+
+    /// Claims all targets, then stops the tasks in order.
+    fn begin(&mut self, view: &View, moves: &[defrag::Move], wanted_by: Option<JobId>) {
+        let mut going = Vec::new();
+        for mv in moves {
+            let key = view.copies[mv.copy as usize];
+            let from = view.fleet.copies[mv.copy as usize].machine;
+            let (from, to) = (view.machines[from as usize], view.machines[mv.to as usize]);
+            let stop_s = self.stop_s(key.job);
+            let start_s = self.fetch_s(key.job, to) * 1.5 + ARRIVAL_S;
+            self.hold(to, key.job, stop_s + start_s);
+            let relocation = Relocation {
+                id: self.jobs[key.job].spec.id,
+                key,
+                from: self.machines[from].name.clone(),
+                to: self.machines[to].name.clone(),
+                wanted_by,
+                began: self.now,
+                left: false,
+                until: self.now + stop_s,
+                start_s,
+            };
+            tracing::info!(
+                job = %relocation.id,
+                task = key.task,
+                from = relocation.from,
+                to = relocation.to,
+                "move begins"
+            );
+            let id = (relocation.id, key.task);
+            self.relocations.moved_at.insert(id, self.now);
+            self.relocations.live.push(relocation);
+            going.push((from, key));
+        }
+        for (from, key) in going {
+            self.stop_in_order(from, key);
+        }
+    }
+
+    /// A claim that stands before any task of the job waits.
+    fn hold(&mut self, m: u32, ix: u32, for_s: f64) {
+        self.claim(m, ix, for_s);
+        let claims = self.machines[m].claims.iter_mut();
+        claims.filter(|c| c.job == ix).for_each(|c| c.held = true);
+    }
+
+    /// Once a second: how far each move is, and what has become of it.
+    pub(super) fn watch_relocations(&mut self) {
+        let mut live = std::mem::take(&mut self.relocations.live);
+        let mut failed = Vec::new();
+        live.retain_mut(|r| {
+            let Some(end) = self.look_at(r) else {
+                return true;
+            };
+            tracing::info!(job = %r.id, task = r.key.task, from = r.from, to = r.to, end, "move ends");
+            if !r.left && end == STAYED {
+                failed.extend(r.wanted_by);
+            }
+            if end != ARRIVED {
+                self.let_go(r);
+            }
+            self.relocations.recent.push_back((r.clone(), end));
+            false
+        });
+        self.relocations.live = live;
+        while self.relocations.recent.len() > RECENT {
+            self.relocations.recent.pop_front();
+        }
+        failed.sort_unstable();
+        failed.dedup();
+        for id in failed {
+            let (tries, next) = self.relocations.patience.entry(id).or_default();
+            *next = self.now + PAUSE_S * 2f64.powi(*tries as i32);
+            *tries += 1;
+        }
+        let again_s = self.config.tuning.defragmentation.again_after_s;
+        let now = self.now;
+        let moved_at = &mut self.relocations.moved_at;
+        moved_at.retain(|_, t| now - *t <= again_s);
+    }
+
+    /// How a move ended, if it has.
+    fn look_at(&mut self, r: &mut Relocation) -> Option<&'static str> {
+        let job = self.jobs.get(r.key.job).filter(|j| j.spec.id == r.id);
+        let Some(job) = job.filter(|j| matches!(j.state, JobState::Live | JobState::Finishing))
+        else {
+            return Some(OVER);
+        };
+        if job.tasks[r.key.task as usize].done {
+            return Some(DONE);
+        }
+        let copy_at = |name: &str, test: &dyn Fn(&CopyKey) -> bool| {
+            let machine = self.machine_ids.get(name).map(|&m| &self.machines[m])?;
+            let mut copies = machine.copies.iter();
+            copies
+                .find(|(k, c)| c.possible() && test(k))
+                .map(|(_, c)| c.phase)
+        };
+        if copy_at(&r.from, &|k| *k == r.key).is_some() {
+            // The claims of those who wait for the place last as long as it is on its way.
+            return (self.now > r.until).then_some(STAYED);
+        }
+        if !r.left {
+            r.left = true;
+            r.until = self.now + r.start_s;
+        }
+        let task = |k: &CopyKey| k.job == r.key.job && k.task == r.key.task;
+        match copy_at(&r.to, &task) {
+            Some(Some(TaskPhase::Running)) => return Some(ARRIVED),
+            Some(_) => return (self.now > r.until).then_some(LATE),
+            None => {}
+        }
+        if job.tasks[r.key.task as usize].copies > 0 {
+            return Some(ELSEWHERE);
+        }
+        (self.now > r.until).then_some(UNPLACED)
+    }
+
+    /// Room that was held for a move that does not come.
+    fn let_go(&mut self, r: &Relocation) {
+        let Some(&to) = self.machine_ids.get(&r.to) else {
+            return;
+        };
+        let claims = &mut self.machines[to].claims;
+        if let Some(c) = claims.iter_mut().find(|c| c.job == r.key.job && c.held) {
+            c.count = c.count.saturating_sub(1);
+        }
+        claims.retain(|c| c.count > 0);
+    }
+
+    /// Moves off a draining node what may move and finds a place.
+    pub(super) fn evacuate(&mut self, m: u32) {
+        let limits = self.limits();
+        if limits.moves == 0 || self.machines[m].copies.is_empty() {
+            return;
+        }
+        let view = self.view(None);
+        let Some(at) = view.machines.iter().position(|&o| o == m) else {
+            return;
+        };
+        let moves = defrag::empty(&view.fleet, at as u32, &limits);
+        self.begin(&view, &moves, None);
+    }
+
+    /// What is whose on a machine, for operators.
+    pub(super) fn leaving(&self, name: &str) -> u32 {
+        let live = self.relocations.live.iter();
+        live.filter(|r| !r.left && r.from == name).count() as u32
+    }
+
+    /// How far a move is.
+    pub(super) fn stage(r: &Relocation) -> &'static str {
+        match r.left {
+            false => "stopping",
+            true => "starting",
+        }
+    }
+}
+
+/// How moves end.
+const ARRIVED: &str = "arrived";
+const ELSEWHERE: &str = "started elsewhere";
+const DONE: &str = "ended by itself";
+const OVER: &str = "its job is over";
+const STAYED: &str = "did not leave in time";
+const LATE: &str = "still fetching";
+const UNPLACED: &str = "waits for a place";
+
+/// Room in the units that people read.
+pub(super) fn amounts(a: &Amounts) -> [f64; 3] {
+    [a.cpus, a.gpus, a.memory].map(|x| x as f64 / 1000.0)
+}
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -52,6 +52,7 @@
             quarantined_until: 0.0,
             quarantines: 0,
             returning: false,
+            draining: self.drains.contains_key(name),
             idle_since: None,
             next_probe: 0.0,
             unanswered_at: None,
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -3,8 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+use crate::bookkeeping::DrainRecord;
 use crate::protocol::JobId;
-use crate::protocol::job::{Amounts, Phase};
+use crate::protocol::job::{Amounts, Standing};
 use crate::settings::{Cluster, Tuning};
 
 use super::messages::Effect;
@@ -56,7 +57,7 @@
     /// Where the last batch left off among the jobs that it had no time for.
     pub(super) next_in_tail: usize,
     /// Jobs that ended under this leader, by number.
-    pub(super) over: HashMap<JobId, Phase>,
+    pub(super) over: HashMap<JobId, Standing>,
     /// Jobs to be cancelled that the watch has not shown yet.
     pub(super) cancel_early: BTreeSet<JobId>,
     pub(super) next_attempt: u64,
@@ -72,6 +73,9 @@
     pub(super) next_second: Time,
     /// How long replicas may be away for moves, in seconds.
     pub(super) move_credit: f64,
+    pub(super) relocations: Relocations,
+    /// Nodes that operators drain, by name; they may be unknown yet.
+    pub(super) drains: BTreeMap<String, Drain>,
     /// No earlier leader's start can be anywhere unknown any more.
     pub(super) settled: bool,
     pub(super) chunk_tasks: u32,
@@ -167,3 +171,52 @@
         &mut self.pages[ix]
     }
 }
+
+/// One task on its way to another machine. Names, as indices may be another's by the
+/// time that it ends.
+#[derive(Debug, Clone)]
+pub(super) struct Relocation {
+    pub(super) id: JobId,
+    /// The copy that is to go.
+    pub(super) key: CopyKey,
+    pub(super) from: String,
+    pub(super) to: String,
+    /// The job that waits for the machine; `None`: it drains.
+    pub(super) wanted_by: Option<JobId>,
+    pub(super) began: Time,
+    /// The old copy is gone, so its place is free.
+    pub(super) left: bool,
+    /// By when it should be gone, and then by when it should be there.
+    pub(super) until: Time,
+    /// How long it may take from one to the other.
+    pub(super) start_s: f64,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Relocations {
+    pub(super) live: Vec<Relocation>,
+    /// The last ones that ended, and how, the newest last.
+    pub(super) recent: VecDeque<(Relocation, &'static str)>,
+    /// When each task last moved.
+    pub(super) moved_at: BTreeMap<(JobId, u32), Time>,
+    /// Of jobs that wait for whole machines: how often moves for them came to nothing,
+    /// and when they are next tried.
+    pub(super) patience: BTreeMap<JobId, (u32, Time)>,
+    /// Why nothing is moved for them, and since when that has been so.
+    pub(super) reasons: BTreeMap<JobId, String>,
+}
+
+/// A drain, as it is wanted and as it is stored.
+#[derive(Debug, Default)]
+pub(super) struct Drain {
+    /// `None`: it is to end, which counts once it is stored.
+    pub(super) record: Option<DrainRecord>,
+    pub(super) until: Option<Time>,
+    /// Of the stored record, 0 if there is none.
+    pub(super) version: u64,
+    /// What is stored differs from what is wanted.
+    pub(super) due: bool,
+    pub(super) writing: bool,
+    /// Operators who are answered once it is stored.
+    pub(super) waiters: Vec<u64>,
+}
--- a/src/coordination/storing.rs
+++ b/src/coordination/storing.rs
@@ -2,9 +2,8 @@
 //! transaction at a time.
 
 use crate::bookkeeping::bitmap;
-use crate::bookkeeping::writer::{Write, Written};
+use crate::bookkeeping::writer::{Write, Written, completed};
 use crate::protocol::JobId;
-use crate::protocol::job::Phase;
 
 use super::messages::Effect;
 use super::model::*;
@@ -29,10 +28,12 @@
             let write = Write::Finish {
                 job: job.spec.id,
                 version: job.version,
+                done: job.spec.tasks,
             };
             ops += write.changes();
             batch.push(write);
         }
+        self.drain_writes(&mut batch, most, &mut ops);
         let room = most.saturating_sub(ops);
         let before = batch.len();
         self.roster_writes(&mut batch, before + room, &mut bytes);
@@ -94,9 +95,9 @@
         self.writing = false;
         for (write, written) in results {
             match write {
-                Write::Finish { job, .. } => match written {
-                    Written::Stored { .. } => self.end_job(job, Phase::Done),
-                    Written::Ended(phase) => self.end_job(job, phase),
+                Write::Finish { job, done, .. } => match written {
+                    Written::Stored { .. } => self.end_job(job, completed(done)),
+                    Written::Ended(end) => self.end_job(job, end),
                     Written::Again { .. } => {
                         if let Some(&ix) = self.job_ids.get(&job) {
                             self.finish.push_back(ix);
@@ -107,6 +108,7 @@
                     job, chunk, value, ..
                 } => self.progress_written(job, chunk, &value, &written),
                 Write::Roster { page, value, .. } => self.roster_written(page, &value, &written),
+                Write::Drain { node, record, .. } => self.drain_written(node, record, &written),
                 Write::DropProgress { job, chunk, .. } => {
                     if let Written::Again { version } = written {
                         self.drop_progress.push_back((job, chunk, version));
--- a/src/errands.rs
+++ b/src/errands.rs
@@ -11,7 +11,6 @@
 use crate::commands::{Command, Handle};
 use crate::coordination::core::{DirectOutcome, Effect, Input, RentOutcome};
 use crate::protocol::cloud::{self, MachineType};
-use crate::protocol::job::Phase;
 use crate::protocol::worker::{Report, orders_body};
 use crate::shared::Shared;
 use crate::transport::budget::Urgency;
@@ -78,15 +77,16 @@
             match writer::write(shared.store.clone(), token, batch, wanted).await {
                 Ok(results) => {
                     for (write, written) in &results {
-                        let phase = match (write, written) {
-                            (writer::Write::Finish { .. }, writer::Written::Stored { .. }) => {
-                                Phase::Done
-                            }
-                            (writer::Write::Finish { .. }, writer::Written::Ended(phase)) => *phase,
+                        let end = match (write, written) {
+                            (
+                                writer::Write::Finish { done, .. },
+                                writer::Written::Stored { .. },
+                            ) => writer::completed(*done),
+                            (writer::Write::Finish { .. }, writer::Written::Ended(end)) => *end,
                             _ => continue,
                         };
                         if let writer::Write::Finish { job, .. } = write {
-                            handle.send(Command::Ended { job: *job, phase }).await;
+                            handle.send(Command::Ended { job: *job, end }).await;
                         }
                     }
                     Some(Input::Written(results))
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,10 +6,11 @@
 
 use clap::{Parser, Subcommand};
 use copperfield::service::Service;
-use copperfield::settings::{Settings, Tuning, tuning_beside};
+use copperfield::settings::{Log, LogFormat, Settings, Tuning, tuning_beside};
 use copperfield::transport::client::Http;
 use copperfield::transport::server::serve;
 use tracing::level_filters::LevelFilter;
+use tracing_subscriber::Layer;
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
@@ -35,6 +36,8 @@
 enum Verb {
     /// Only check the settings.
     Check(Files),
+    #[command(flatten)]
+    Operate(copperfield_operators::cli::Command),
 }
 
 #[derive(clap::Args)]
@@ -62,9 +65,15 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (files, only_check) = match &cli.command {
+    let (files, only_check) = match cli.command {
         Some(Verb::Check(files)) => (files, true),
-        None => (&cli.serve, false),
+        Some(Verb::Operate(command)) => {
+            return match runtime() {
+                Ok(runtime) => ExitCode::from(runtime.block_on(command.run())),
+                Err(error) => fail(&error),
+            };
+        }
+        None => (cli.serve, false),
     };
     let (settings, tuning) = match files.load() {
         Ok(loaded) => loaded,
@@ -77,24 +86,43 @@
         println!("settings are good");
         return ExitCode::SUCCESS;
     }
-    init_logging();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let result = match runtime {
-        Ok(runtime) => runtime.block_on(run(settings, tuning)),
-        Err(error) => Err(error),
-    };
-    match result {
+    init_logging(&tuning.log);
+    announce(&settings, &tuning);
+    match runtime().and_then(|runtime| runtime.block_on(run(settings, tuning))) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("copperfield: {error}");
-            ExitCode::FAILURE
-        }
+        Err(error) => fail(&error),
     }
 }
 
-fn init_logging() {
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+}
+
+fn fail(error: &std::io::Error) -> ExitCode {
+    eprintln!("copperfield: {error}");
+    ExitCode::FAILURE
+}
+
+/// What runs here, for whoever reads the log later.
+fn announce(settings: &Settings, tuning: &Tuning) {
+    let on = |on: bool| if on { "on" } else { "off" };
+    tracing::info!(
+        version = env!("CARGO_PKG_VERSION"),
+        member = settings.member,
+        site = settings.site,
+        public = %settings.public_addr,
+        peers = %settings.peer_bind,
+        state = %settings.external.state,
+        cloud = %settings.external.cloud,
+        defragmentation = on(tuning.defragmentation.enabled),
+        operators = on(tuning.operators.is_some()),
+        "starts"
+    );
+}
+
+fn init_logging(log: &Log) {
     let level = match std::env::var("LOG_LEVEL").as_deref() {
         Ok("debug") => tracing::Level::DEBUG,
         Ok("error") => tracing::Level::ERROR,
@@ -107,15 +135,27 @@
         .with_target("warp", LevelFilter::OFF)
         // Its pool tells of every connection twice, which hid all else at debug.
         .with_target("hyper_util", LevelFilter::INFO);
-    tracing_subscriber::fmt()
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
-        .with_max_level(level)
         .with_ansi(false)
-        .with_target(false)
-        .without_time()
-        .finish()
-        .with(quiet)
-        .init();
+        .with_target(false);
+    let all = tracing_subscriber::registry();
+    match (log.format, log.time) {
+        (LogFormat::Text, false) => all.with(lines.without_time().with_filter(quiet)).init(),
+        (LogFormat::Text, true) => all.with(lines.with_filter(quiet)).init(),
+        (LogFormat::Json, false) => all
+            .with(
+                lines
+                    .json()
+                    .flatten_event(true)
+                    .without_time()
+                    .with_filter(quiet),
+            )
+            .init(),
+        (LogFormat::Json, true) => all
+            .with(lines.json().flatten_event(true).with_filter(quiet))
+            .init(),
+    }
 }
 
 async fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -13,15 +13,15 @@
 
 use crate::bookkeeping::Snapshot;
 use crate::bookkeeping::recovery::recover;
-use crate::commands::{Command, Handle};
+use crate::commands::{Command, Handle, OperatorAnswer};
 use crate::coordination::core::{CancelBegin, Config, Core, Effect, Input};
 use crate::errands::perform;
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::Phase;
+use crate::protocol::job::Standing;
 use crate::protocol::peer::Lookup;
 use crate::protocol::worker::Report;
-use crate::shared::Shared;
+use crate::shared::{Shared, unix_ms};
 use crate::transport::server::Outgoing;
 
 const QUEUE: usize = 2048;
@@ -50,6 +50,7 @@
     core: Core,
     tickets: HashMap<u64, oneshot::Sender<Outgoing>>,
     cancels: HashMap<u64, oneshot::Sender<Option<(CancelBegin, u64)>>>,
+    operators: HashMap<u64, oneshot::Sender<Option<OperatorAnswer>>>,
     next_ticket: u64,
     /// What arrived while the lease was in doubt.
     held: Vec<Input>,
@@ -62,7 +63,7 @@
     role: Role,
     leader: Option<String>,
     types: Option<Arc<Vec<MachineType>>>,
-    terminals: HashMap<JobId, Phase>,
+    terminals: HashMap<JobId, Standing>,
     terminal_order: VecDeque<JobId>,
     steps: hdrhistogram::Histogram<u64>,
     next_stats: f64,
@@ -144,15 +145,30 @@
                     let _ = reply.send(None);
                 }
             },
-            Command::SettleCancel { job, phase } => {
-                if let Some(phase) = phase {
-                    self.remember(job, phase);
+            Command::SettleCancel { job, end } => {
+                if let Some(end) = end {
+                    self.remember(job, end);
                 }
                 if let Role::Leading(_) = self.role {
-                    inputs.push(Input::CancelSettled { job, phase });
+                    inputs.push(Input::CancelSettled { job, end });
                 }
             }
-            Command::Ended { job, phase } => self.remember(job, phase),
+            Command::Ended { job, end } => self.remember(job, end),
+            Command::Operate { order, reply } => match &mut self.role {
+                Role::Leading(l) if self.shared.is_valid() => {
+                    let ticket = l.next_ticket;
+                    l.next_ticket += 1;
+                    l.operators.insert(ticket, reply);
+                    inputs.push(Input::Operate {
+                        ticket,
+                        order,
+                        unix_ms: unix_ms(),
+                    });
+                }
+                _ => {
+                    let _ = reply.send(None);
+                }
+            },
             Command::AskTypes { reply } => {
                 let _ = reply.send(self.types.clone());
             }
@@ -210,6 +226,7 @@
             core,
             tickets: HashMap::new(),
             cancels: HashMap::new(),
+            operators: HashMap::new(),
             next_ticket: 0,
             held: Vec::new(),
         }));
@@ -246,8 +263,8 @@
     }
 
     fn lookup(&self, job: JobId) -> Lookup {
-        if let Some(&phase) = self.terminals.get(&job) {
-            return Lookup::Terminal(phase);
+        if let Some(&end) = self.terminals.get(&job) {
+            return Lookup::Terminal(end);
         }
         match &self.role {
             Role::Leading(l) if self.shared.is_valid() => l.core.lookup(job),
@@ -255,8 +272,8 @@
         }
     }
 
-    fn remember(&mut self, job: JobId, phase: Phase) {
-        if self.terminals.insert(job, phase).is_none() {
+    fn remember(&mut self, job: JobId, end: Standing) {
+        if self.terminals.insert(job, end).is_none() {
             self.terminal_order.push_back(job);
             if self.terminal_order.len() > TERMINALS
                 && let Some(oldest) = self.terminal_order.pop_front()
@@ -281,6 +298,9 @@
                     Input::CancelBegin { ticket, .. } => {
                         l.cancels.remove(&ticket);
                     }
+                    Input::Operate { ticket, .. } => {
+                        l.operators.remove(&ticket);
+                    }
                     other => l.held.push(other),
                 }
             }
@@ -341,6 +361,15 @@
                     let _ = reply.send(Some((begin, token)));
                 }
             }
+            Effect::Operated {
+                ticket,
+                status,
+                body,
+            } => {
+                if let Some(reply) = l.operators.remove(&ticket) {
+                    let _ = reply.send(Some((status, body)));
+                }
+            }
             Effect::Deposed => {
                 tracing::warn!(token, "a worker has seen a newer token");
                 self.shared.step_down(token);
--- a/src/service.rs
+++ b/src/service.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use copperfield_operators::views::DrainOrder;
 use serde_json::{Value, json};
+use subtle::ConstantTimeEq;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
@@ -18,8 +20,8 @@
 use crate::node::Owner;
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
-use crate::protocol::job::{JobSpec, Kind, Phase, Priority};
-use crate::protocol::peer::{Lookup, PeerReply, PeerRequest};
+use crate::protocol::job::{JobSpec, Kind, Phase, Priority, Standing};
+use crate::protocol::peer::{Lookup, Order, PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Transaction};
 use crate::protocol::worker::Report;
 use crate::settings::{Settings, Tuning};
@@ -32,6 +34,8 @@
 const SUBMIT_DEADLINE: Duration = Duration::from_millis(3500);
 const POLL_DEADLINE: Duration = Duration::from_millis(1700);
 const CANCEL_DEADLINE: Duration = Duration::from_millis(2500);
+/// An operator is answered once what was asked is stored.
+const OPERATOR_DEADLINE: Duration = Duration::from_millis(4000);
 const PEER_DEADLINE: Duration = Duration::from_millis(700);
 /// Questions that wait for the leader at most, go in one message, and messages
 /// that are out at once.
@@ -87,6 +91,21 @@
             // Its user has given up, or can ask again at once.
             return Outgoing::busy("this node stood still", 1);
         }
+        if let Some(operators) = &self.shared.tuning.operators
+            && let Some(rest) = path.strip_prefix("/operator/")
+        {
+            let given = request.authorization.as_deref().unwrap_or_default();
+            let given = given.strip_prefix("Bearer ").unwrap_or_default();
+            if !bool::from(given.as_bytes().ct_eq(operators.key.as_bytes())) {
+                return Outgoing::error(401, "the key is missing or wrong");
+            }
+            return match operator_order(&request, rest) {
+                Ok(order) => timeout(OPERATOR_DEADLINE, self.operate(order))
+                    .await
+                    .unwrap_or_else(|_| Outgoing::busy("not stored in time", 1)),
+                Err(refusal) => refusal,
+            };
+        }
         match (&request.method, path) {
             (&Method::POST, "/hello") => self.hello(&request.body).await,
             (&Method::POST, "/work") => {
@@ -189,9 +208,9 @@
         };
         if let Err(why) = self.can_run(&spec, &types) {
             // A job that was accepted once is known, whatever has changed since.
-            return match self.shared.store.job_phase(id).await {
+            return match self.shared.store.standing(id).await {
                 Ok(None) => Outgoing::error(422, &why),
-                Ok(Some(phase)) => phase_answer(id, phase, 0, 0),
+                Ok(Some(at)) => phase_answer(id, at.phase, at.done, 0),
                 Err(_) => Outgoing::busy("the state service does not answer", 1),
             };
         }
@@ -272,7 +291,7 @@
 
     async fn poll(&self, id: JobId) -> Outgoing {
         match self.find(id).await {
-            Lookup::Terminal(phase) => phase_answer(id, phase, 0, 0),
+            Lookup::Terminal(end) => phase_answer(id, end.phase, end.done, 0),
             Lookup::Live {
                 phase,
                 done,
@@ -282,22 +301,22 @@
             _ if self.shared.store.read_backlog() > READ_BACKLOG => {
                 Outgoing::busy("too many questions wait", 2)
             }
-            _ => match self.stored_phase(id).await {
-                Ok(Some(phase)) => phase_answer(id, phase, 0, 0),
+            _ => match self.stored_standing(id).await {
+                Ok(Some(at)) => phase_answer(id, at.phase, at.done, 0),
                 Ok(None) => Outgoing::error(404, "no such job"),
                 Err(_) => Outgoing::busy("the state service does not answer", 1),
             },
         }
     }
 
-    async fn stored_phase(&self, id: JobId) -> Result<Option<Phase>, StoreError> {
-        let phase = self.shared.store.job_phase(id).await?;
-        if let Some(phase) = phase
-            && phase.is_terminal()
+    async fn stored_standing(&self, id: JobId) -> Result<Option<Standing>, StoreError> {
+        let at = self.shared.store.standing(id).await?;
+        if let Some(end) = at
+            && end.phase.is_terminal()
         {
-            self.handle.send(Command::Ended { job: id, phase }).await;
+            self.handle.send(Command::Ended { job: id, end }).await;
         }
-        Ok(phase)
+        Ok(at)
     }
 
     /// What this node or the leader knows of a job.
@@ -352,8 +371,8 @@
     }
 
     async fn remember(&self, job: JobId, found: Lookup) {
-        if let Lookup::Terminal(phase) = found {
-            self.handle.send(Command::Ended { job, phase }).await;
+        if let Lookup::Terminal(end) = found {
+            self.handle.send(Command::Ended { job, end }).await;
         }
     }
 
@@ -375,7 +394,7 @@
 
     async fn cancel(&self, id: JobId) -> Outgoing {
         match self.cancelled(id).await {
-            Lookup::Terminal(phase) => phase_answer(id, phase, 0, 0),
+            Lookup::Terminal(end) => phase_answer(id, end.phase, end.done, 0),
             Lookup::Never => Outgoing::error(404, "no such job"),
             _ => Outgoing::busy("cannot be stored now", 1),
         }
@@ -403,28 +422,31 @@
     /// The leader first stops starting anything of the job, then stores the
     /// cancellation, and goes on trying when the user has given up waiting.
     async fn cancel_as_leader(&self, id: JobId) -> Lookup {
-        let token = loop {
+        let (done, token) = loop {
             let begin = self
                 .handle
                 .ask(|reply| Command::BeginCancel { job: id, reply })
                 .await;
             match begin.flatten() {
                 None => return Lookup::NotLeading,
-                Some((CancelBegin::Over(phase), _)) => return Lookup::Terminal(phase),
+                Some((CancelBegin::Over(end), _)) => return Lookup::Terminal(end),
                 Some((CancelBegin::Busy, _)) => sleep(Duration::from_millis(30)).await,
-                Some((CancelBegin::Go, token)) => break token,
+                Some((CancelBegin::Go { done }, token)) => break (done, token),
             }
         };
         let this = self.clone();
         let settled = tokio::spawn(async move {
             while this.shared.leads(token) {
-                if let Ok(found) = this.store_cancelled(id, (LEADER.to_string(), token)).await {
-                    let phase = match found {
-                        Lookup::Terminal(phase) => Some(phase),
+                if let Ok(found) = this
+                    .store_cancelled(id, done, (LEADER.to_string(), token))
+                    .await
+                {
+                    let end = match found {
+                        Lookup::Terminal(end) => Some(end),
                         _ => None,
                     };
                     this.handle
-                        .send(Command::SettleCancel { job: id, phase })
+                        .send(Command::SettleCancel { job: id, end })
                         .await;
                     return found;
                 }
@@ -445,7 +467,7 @@
         // Goes on when the user has given up, so that its end is always noted.
         let this = self.clone();
         let stored = tokio::spawn(async move {
-            let stored = this.store_cancelled(id, (LEADER.to_string(), 0)).await;
+            let stored = this.store_cancelled(id, 0, (LEADER.to_string(), 0)).await;
             let settled = !matches!(stored, Err(StoreError::Unknown(_)));
             this.shared.end_leaderless(settled);
             let found = stored.unwrap_or(Lookup::NotLeading);
@@ -456,13 +478,22 @@
     }
 
     /// `Unknown` only if the transaction may still be carried out.
-    async fn store_cancelled(&self, id: JobId, guard: (String, u64)) -> Result<Lookup, StoreError> {
+    async fn store_cancelled(
+        &self,
+        id: JobId,
+        done: u32,
+        guard: (String, u64),
+    ) -> Result<Lookup, StoreError> {
+        let end = Standing {
+            phase: Phase::Cancelled,
+            done,
+        };
         let store = &self.shared.store;
         let unread = |_| StoreError::Refused(0);
         let live = store.get(&job_key(id), Urgency::High, true).await;
         let live = live.map_err(unread)?;
-        if let Some(phase) = store.terminal(id, Urgency::High).await.map_err(unread)? {
-            return Ok(Lookup::Terminal(phase));
+        if let Some(end) = store.terminal(id, Urgency::High).await.map_err(unread)? {
+            return Ok(Lookup::Terminal(end));
         }
         let Some(live) = live else {
             return Ok(Lookup::Never);
@@ -470,13 +501,44 @@
         let txn = Transaction {
             conditions: vec![guard, (job_key(id), live.version), (terminal_key(id), 0)],
             changes: vec![
-                put(terminal_key(id), terminal_record(Phase::Cancelled)),
+                put(terminal_key(id), terminal_record(end)),
                 Change::Delete { key: job_key(id) },
             ],
         };
         // After an error it is read again: it may have been carried out, or the job has ended.
         store.commit(&txn, Urgency::High, true).await?;
-        Ok(Lookup::Terminal(Phase::Cancelled))
+        Ok(Lookup::Terminal(end))
+    }
+
+    // ---- operators ----
+
+    async fn operate(&self, order: Order) -> Outgoing {
+        if let Some(answer) = self.operate_as_leader(order.clone()).await {
+            return answer;
+        }
+        let (_, leader) = self.ask_owner_all(Vec::new()).await;
+        let asked = PeerRequest::Operate(order);
+        match self.ask_leader(leader, asked, CANCEL_DEADLINE).await {
+            Some(PeerReply::Operated { status, body }) => Outgoing {
+                status,
+                body,
+                retry_after_s: None,
+            },
+            _ => Outgoing::busy("no leader answers", 1),
+        }
+    }
+
+    async fn operate_as_leader(&self, order: Order) -> Option<Outgoing> {
+        let asked = self
+            .handle
+            .ask(|reply| Command::Operate { order, reply })
+            .await;
+        let (status, body) = asked.flatten()?;
+        Some(Outgoing {
+            status,
+            body,
+            retry_after_s: None,
+        })
     }
 
     // ---- peers ----
@@ -506,6 +568,13 @@
                 }
             }
             PeerRequest::Ping => PeerReply::Pong,
+            PeerRequest::Operate(order) => {
+                let asked = timeout(CANCEL_DEADLINE, self.operate_as_leader(order));
+                match asked.await.ok().flatten() {
+                    Some(Outgoing { status, body, .. }) => PeerReply::Operated { status, body },
+                    None => PeerReply::Unable,
+                }
+            }
         };
         Outgoing {
             status: 200,
@@ -553,6 +622,43 @@
     }
 }
 
+/// What an operator asks by HTTP.
+fn operator_order(request: &Incoming, rest: &str) -> Result<Order, Outgoing> {
+    if request.method == Method::GET {
+        let since = request.query.as_deref().unwrap_or_default();
+        return match rest {
+            "nodes" => Ok(Order::Nodes {
+                since: since.strip_prefix("since=").unwrap_or_default().into(),
+            }),
+            "moves" => Ok(Order::Moves),
+            _ => Err(Outgoing::error(404, "there is no such page")),
+        };
+    }
+    let named = rest.strip_prefix("nodes/").and_then(|r| r.split_once('/'));
+    match named {
+        Some((node, "drain")) => {
+            let order: DrainOrder = match request.body.as_ref() {
+                b"" => DrainOrder::default(),
+                body => serde_json::from_slice(body)
+                    .map_err(|e| Outgoing::error(400, &format!("drain: {e}")))?,
+            };
+            if let Some(s) = order.deadline_s
+                && !(0.0..=1e6).contains(&s)
+            {
+                let what = format!("deadline_s: found {s}, allowed is 0 to 1000000");
+                return Err(Outgoing::error(400, &what));
+            }
+            Ok(Order::Drain {
+                node: node.into(),
+                deadline_s: order.deadline_s,
+                yes: order.yes,
+            })
+        }
+        Some((node, "undrain")) => Ok(Order::Undrain { node: node.into() }),
+        _ => Err(Outgoing::error(404, "there is no such page")),
+    }
+}
+
 fn phase_answer(id: JobId, phase: Phase, done: u32, running: u32) -> Outgoing {
     Outgoing::json(
         200,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 //! Both are checked in full before anything starts: a controller that would
 //! misbehave with a bad number must not come up at all.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -264,6 +265,87 @@
     pub fleet_max: u32,
     /// Length of the leader's lease.
     pub leader_ttl_ms: u64,
+    /// Frees whole machines by moving work that may move.
+    pub defragmentation: Defragmentation,
+    /// What operators say of classes of jobs, by name.
+    pub class: BTreeMap<String, Class>,
+    /// Switches the operators' endpoints on.
+    pub operators: Option<Operators>,
+    pub log: Log,
+}
+
+/// The block `defragmentation`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Defragmentation {
+    /// Whether work is moved for whole-machine tasks that wait. A drain moves work
+    /// either way, within the same limits.
+    pub enabled: bool,
+    /// Moves under way at once.
+    pub most_moves: u32,
+    /// A task that does not save is moved only while it would lose less work than this.
+    pub lost_work_s: f64,
+    /// The same task is not moved again within.
+    pub again_after_s: f64,
+    /// Share of a job's tasks that may be away for moves; at least one may.
+    pub away_share: f64,
+    /// What a place on a whole machine is worth: the seconds of waiting that it spares,
+    /// paid in seconds of work that moves lose.
+    pub worth_s: f64,
+}
+
+impl Default for Defragmentation {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            most_moves: 16,
+            lost_work_s: 30.0,
+            again_after_s: 300.0,
+            away_share: 0.1,
+            worth_s: 60.0,
+        }
+    }
+}
+
+/// A block `class "NAME"`.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Class {
+    /// Whether its tasks may be moved; what a job says of itself counts if it is stricter.
+    pub movable: Option<bool>,
+    /// Never moved, and a drain that disturbs it must be confirmed.
+    pub protected: bool,
+}
+
+/// The block `operators`.
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operators {
+    /// What a request must carry: `Authorization: Bearer KEY`.
+    pub key: String,
+}
+
+impl std::fmt::Debug for Operators {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Operators { key: (hidden) }")
+    }
+}
+
+/// The block `log`.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Lines carry the time of day; off where the platform adds its own.
+    pub time: bool,
+    pub format: LogFormat,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    #[default]
+    Text,
+    Json,
 }
 
 impl Default for Tuning {
@@ -279,6 +361,10 @@
             deserted_return_s: 25.0,
             fleet_max: 0,
             leader_ttl_ms: 2500,
+            defragmentation: Defragmentation::default(),
+            class: BTreeMap::new(),
+            operators: None,
+            log: Log::default(),
         }
     }
 }
@@ -287,11 +373,17 @@
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let file = path.display().to_string();
         let text = read(path)?;
-        let tuning: Self = hcl::from_str(&text).map_err(|e| SettingsError::Malformed {
+        let malformed = |field: String, problem: String| SettingsError::Malformed {
             file: file.clone(),
-            field: "operators' settings".into(),
-            problem: e.to_string().replace('\n', " "),
-        })?;
+            field,
+            problem: problem.replace('\n', " "),
+        };
+        // By way of plain values, so that an error can name the field it is about.
+        let value: serde_json::Value = hcl::from_str(&text)
+            .map_err(|e| malformed("operators' settings".into(), e.to_string()))?;
+        let tuning: Self = serde_path_to_error::deserialize(value)
+            .map_err(|e| malformed(e.path().to_string(), e.inner().to_string()))?;
+        tuning.check_blocks(&file)?;
         for (field, value, low, high, allowed) in [
             (
                 "auction_cap",
@@ -339,6 +431,41 @@
                 60_000.0,
                 "500 to 60000",
             ),
+            (
+                "defragmentation.most_moves",
+                f64::from(tuning.defragmentation.most_moves),
+                1.0,
+                1000.0,
+                "1 to 1000",
+            ),
+            (
+                "defragmentation.lost_work_s",
+                tuning.defragmentation.lost_work_s,
+                0.0,
+                1e6,
+                "0 to 1000000",
+            ),
+            (
+                "defragmentation.again_after_s",
+                tuning.defragmentation.again_after_s,
+                10.0,
+                1e6,
+                "10 to 1000000",
+            ),
+            (
+                "defragmentation.away_share",
+                tuning.defragmentation.away_share,
+                0.0,
+                1.0,
+                "0 to 1",
+            ),
+            (
+                "defragmentation.worth_s",
+                tuning.defragmentation.worth_s,
+                0.0,
+                1e6,
+                "0 to 1000000",
+            ),
         ] {
             if !(low..=high).contains(&value) {
                 return Err(SettingsError::OutOfRange {
@@ -353,7 +480,37 @@
     }
 }
 
+/// A key that can be guessed is none.
+const LEAST_KEY: usize = 16;
+
 impl Tuning {
+    fn check_blocks(&self, file: &str) -> Result<(), SettingsError> {
+        let fail = |field: String, problem: &str| {
+            Err(SettingsError::Malformed {
+                file: file.to_string(),
+                field,
+                problem: problem.to_string(),
+            })
+        };
+        for (name, class) in &self.class {
+            if class.protected && class.movable == Some(true) {
+                let field = format!("class.{name}.movable");
+                let problem = "found true, allowed is only false as the class is protected";
+                return fail(field, problem);
+            }
+        }
+        match &self.operators {
+            Some(o) if o.key.len() < LEAST_KEY || !o.key.bytes().all(|b| b.is_ascii_graphic()) => {
+                let found = o.key.len();
+                let problem = format!(
+                    "found a key of {found} bytes, allowed are {LEAST_KEY} or more visible ASCII characters"
+                );
+                fail("operators.key".into(), &problem)
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// A cancelled job must be gone in time even if the leader ends at once:
     /// its lease, then the leases of machines that nobody reaches.
     pub fn check_against(&self, settings: &Settings) -> Result<(), String> {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -26,6 +26,8 @@
     pub method: Method,
     pub path: String,
     pub query: Option<String>,
+    /// The `Authorization` header.
+    pub authorization: Option<String>,
     pub body: Bytes,
 }
 
@@ -106,16 +108,20 @@
     let routes = warp::method()
         .and(warp::path::full())
         .and(query)
+        .and(warp::header::optional::<String>("authorization"))
         .and(without_body.or(with_body).unify())
-        .then(move |method: Method, path: FullPath, query, body: Bytes| {
-            let answer = handler(Incoming {
-                method,
-                path: path.as_str().to_string(),
-                query,
-                body,
-            });
-            async move { answer.await.into_response() }
-        })
+        .then(
+            move |method: Method, path: FullPath, query, authorization, body: Bytes| {
+                let answer = handler(Incoming {
+                    method,
+                    path: path.as_str().to_string(),
+                    query,
+                    authorization,
+                    body,
+                });
+                async move { answer.await.into_response() }
+            },
+        )
         .recover(refuse);
     // Bound here rather than by warp, so that a taken address is an error and not a panic.
     let listener = tokio::net::TcpListener::bind(address).await?;
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -217,6 +217,7 @@
     let snapshot = Snapshot {
         jobs: vec![stored(&json!({"uid": "wk-000001"}), 40)],
         progress: Vec::new(),
+        drains: Vec::new(),
         roster: page(pages),
     };
     let mut crew = Crew::after(TYPES, cluster(), 60, snapshot);
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -235,6 +235,7 @@
             method,
             path,
             query: None,
+            authorization: None,
             body: body.into(),
         };
         let out = if port == 8081 {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -9,7 +9,7 @@
 use copperfield::coordination::core::{Config, Core, DirectOutcome, Effect, Input};
 use copperfield::protocol::JobId;
 use copperfield::protocol::cloud::parse_types;
-use copperfield::protocol::job::{JobSpec, Phase};
+use copperfield::protocol::job::{JobSpec, Phase, Standing};
 use copperfield::protocol::worker::{Report, orders_body};
 use copperfield::settings::Tuning;
 use serde_json::{Value, json};
@@ -138,6 +138,9 @@
                 }
                 Effect::Return(names) => format!("return {}", names.join(", ")),
                 Effect::Cancel { begin, .. } => format!("cancel: {begin:?}"),
+                Effect::Operated { status, body, .. } => {
+                    format!("operator: {status} {}", String::from_utf8_lossy(body))
+                }
                 Effect::Deposed => "deposed".into(),
                 // Renting has its own rhythm, and is not what these traces show.
                 Effect::Rent { .. } | Effect::List | Effect::ReadTypes => continue,
@@ -261,7 +264,10 @@
         "cancelled, stored",
         vec![Input::CancelSettled {
             job: JobId(1),
-            phase: Some(Phase::Cancelled),
+            end: Some(Standing {
+                phase: Phase::Cancelled,
+                done: 0,
+            }),
         }],
     );
     p.hello("vm-000001", 1, json!([]));
@@ -328,6 +334,7 @@
             stored(2, 40, json!({"cpus": 1.0})),
         ],
         progress: Vec::new(),
+        drains: Vec::new(),
         roster: roster(vec![recorded("vm-000001", "a"), recorded("vm-000002", "b")]),
     };
     let mut p = Play::new(snapshot);
