Moves: tests that fail them partway; a job's draining claims give way to better places

Cause: a claim that waits 400 s for a machine to drain counted as a place that comes, so nothing moved. The planner now weighs the waiting that moves spare against when the places would come by themselves.

--- a/crates/standins/src/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -4,19 +4,24 @@
 //! Single workers can be told to fall silent or to fail every task. A task that
 //! starts while another copy of it is on a machine ends the run.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Instant;
 
 use copperfield::bookkeeping::writer::{Write, Written};
-use copperfield::bookkeeping::{RosterPage, Snapshot, StoredJob};
-use copperfield::coordination::core::{Config, Core, DirectOutcome, Effect, Input, RentOutcome};
+use copperfield::bookkeeping::{DrainRecord, RosterPage, Snapshot, StoredDrain, StoredJob, bitmap};
+use copperfield::coordination::core::{
+    CancelBegin, Config, Core, DirectOutcome, Effect, Input, RentOutcome,
+};
 use copperfield::settings::{Cluster, Tuning};
 use copperfield_protocol::cloud::parse_types;
-use copperfield_protocol::job::{JobSpec, Kind};
+use copperfield_protocol::job::{JobSpec, Kind, Phase, Standing};
+use copperfield_protocol::peer::Order;
 use copperfield_protocol::worker::{Command, Exit, Report, TaskPhase, TaskReport, Verb};
 use copperfield_protocol::{JobId, parse_task};
 use serde_json::{Value, json};
 
+use crate::history::{History, What};
+
 const TICK_S: f64 = 0.01;
 pub const FETCH_S: f64 = 2.0;
 
@@ -33,6 +38,18 @@
     tasks: BTreeMap<(JobId, u32, u64), (TaskPhase, f64)>,
 }
 
+/// What comes of the time that a task is given to save.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum Saving {
+    /// It takes as long as the job says.
+    #[default]
+    InTime,
+    /// It takes so many times as long.
+    Slow(f64),
+    /// It takes its time and fails.
+    Fails,
+}
+
 pub struct Crew {
     pub core: Core,
     pub now: f64,
@@ -58,6 +75,27 @@
     pub largest_value: usize,
     /// The roster as it is stored.
     pub roster: BTreeMap<u32, Value>,
+    /// Drains as they are stored.
+    pub drains: BTreeMap<String, DrainRecord>,
+    pub saving: Saving,
+    /// Machines that are gone for good.
+    pub dead: BTreeSet<String>,
+    pub history: History,
+    /// Jobs whose end is stored.
+    pub over: BTreeSet<JobId>,
+    /// The state service takes nothing.
+    pub outage: bool,
+    /// Answers to operators, by ticket.
+    pub told: BTreeMap<u64, (u16, Value)>,
+    progress: BTreeMap<(JobId, u32), Value>,
+    /// Work that was saved, in seconds.
+    saved: BTreeMap<(JobId, u32), f64>,
+    tuning: Tuning,
+    cluster: Cluster,
+    types: String,
+    withheld: Vec<Vec<Write>>,
+    cancelling: VecDeque<JobId>,
+    revision: u64,
     report_s: f64,
     lease_s: f64,
     workers: BTreeMap<String, Worker>,
@@ -75,12 +113,24 @@
 
     /// A crew whose leader starts from what is stored.
     pub fn after(types: &str, cluster: Value, token: u64, snapshot: Snapshot) -> Self {
+        Self::tuned(types, cluster, token, snapshot, Tuning::default())
+    }
+
+    /// The same under settings of its own.
+    pub fn tuned(
+        types: &str,
+        cluster: Value,
+        token: u64,
+        snapshot: Snapshot,
+        tuning: Tuning,
+    ) -> Self {
         let cluster: Cluster = serde_json::from_value(cluster).expect("valid");
         let (report_s, lease_s) = (cluster.workers.report_s, cluster.workers.lease_s);
         let config = Config {
-            cluster,
-            tuning: Tuning::default(),
+            cluster: cluster.clone(),
+            tuning: tuning.clone(),
         };
+        let text = types.to_string();
         let types = parse_types(types.as_bytes()).expect("valid");
         let specs = snapshot.jobs.iter().map(|j| (j.spec.id, j.spec.clone()));
         Self {
@@ -99,6 +149,21 @@
             steps: Vec::new(),
             largest_value: 0,
             roster: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            saving: Saving::InTime,
+            dead: BTreeSet::new(),
+            history: History::default(),
+            over: BTreeSet::new(),
+            outage: false,
+            told: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            saved: BTreeMap::new(),
+            tuning,
+            cluster,
+            types: text,
+            withheld: Vec::new(),
+            cancelling: VecDeque::new(),
+            revision: 500,
             report_s,
             lease_s,
             workers: BTreeMap::new(),
@@ -181,6 +246,88 @@
         w.answered_at = self.now;
     }
 
+    /// The machine is gone, and nobody is told.
+    pub fn die(&mut self, name: &str) {
+        let Some(w) = self.workers.remove(name) else {
+            return;
+        };
+        self.dead.insert(name.to_string());
+        let now = self.now;
+        for ((job, task, attempt), (phase, _)) in w.tasks {
+            if on_machine(phase) {
+                let task = format!("{job}/{task}");
+                self.history.note(now, &task, attempt, name, What::Leaves);
+            }
+        }
+    }
+
+    /// The leader is no more. The next one reads what is stored; nothing that was on its
+    /// way to the last one reaches anybody.
+    pub fn next_leader(&mut self) {
+        let token = self.core.token + 1000;
+        let live = self.specs.iter().filter(|(id, _)| !self.over.contains(id));
+        let jobs: Vec<StoredJob> = live
+            .map(|(id, spec)| StoredJob {
+                accepted_ms: id.0,
+                spec: spec.clone(),
+                age_s: 0.0,
+                version: token - 1,
+            })
+            .collect();
+        let progress = self.progress.iter().filter_map(|(&(job, chunk), value)| {
+            Some((job, chunk, bitmap::from_record(value)?, self.revision))
+        });
+        let drains = self.drains.iter().map(|(node, record)| StoredDrain {
+            node: node.clone(),
+            record: Some(*record),
+            left_s: record.until_ms.map(|at| at as f64 / 1000.0 - self.now),
+            version: self.revision,
+        });
+        let snapshot = Snapshot {
+            jobs,
+            progress: progress.collect(),
+            roster: self.stored_roster(),
+            drains: drains.collect(),
+        };
+        let config = Config {
+            cluster: self.cluster.clone(),
+            tuning: self.tuning.clone(),
+        };
+        let types = parse_types(self.types.as_bytes()).expect("valid");
+        self.core = Core::new(config, token, self.now, types, snapshot);
+        self.later
+            .retain(|(_, input)| matches!(input, Input::Job(_)));
+        self.asked.clear();
+        self.withheld.clear();
+    }
+
+    /// What an operator asks; the answer comes to `told` under this number.
+    pub fn operate(&mut self, order: Order) -> u64 {
+        self.ticket += 1;
+        let input = Input::Operate {
+            ticket: self.ticket,
+            order,
+            unix_ms: (self.now * 1000.0) as u64,
+        };
+        self.later.push((self.now, input));
+        self.ticket
+    }
+
+    /// Asks, and waits for the answer.
+    pub fn ask(&mut self, order: Order) -> (u16, Value) {
+        let ticket = self.operate(order);
+        self.run(0.3);
+        self.told.remove(&ticket).expect("answered at once")
+    }
+
+    /// A user cancels a job: the leader stops starting it, stores that, and is told.
+    pub fn cancel(&mut self, job: JobId) {
+        self.cancelling.push_back(job);
+        let (ticket, now) = (self.ticket, self.now);
+        self.ticket += 1;
+        self.later.push((now, Input::CancelBegin { ticket, job }));
+    }
+
     /// Time passes without the core, as when its process stands still.
     pub fn sleep(&mut self, seconds: f64) {
         self.now += seconds;
@@ -232,17 +379,26 @@
         let w = self.workers.get_mut(name).expect("known");
         if now - w.answered_at > self.lease_s {
             w.session += 1;
-            w.tasks.clear();
+            for ((job, task, attempt), (phase, _)) in std::mem::take(&mut w.tasks) {
+                if on_machine(phase) {
+                    let task = format!("{job}/{task}");
+                    self.history.note(now, &task, attempt, name, What::Leaves);
+                }
+            }
             w.answered_at = now;
         }
         let mut changed = false;
-        for ((job, ..), (phase, until)) in &mut w.tasks {
+        for (&(job, task, attempt), (phase, until)) in &mut w.tasks {
             if *until > now {
                 continue;
             }
-            let spec = &self.specs[job];
+            let spec = &self.specs[&job];
+            let id = format!("{job}/{task}");
             let next = match phase {
-                TaskPhase::Fetching if sick || self.mistaken.contains(job) => {
+                TaskPhase::Saving => TaskPhase::Exited(Exit::Stopped {
+                    saved: self.saving != Saving::Fails,
+                }),
+                TaskPhase::Fetching if sick || self.mistaken.contains(&job) => {
                     TaskPhase::Exited(Exit::Error)
                 }
                 TaskPhase::Fetching => TaskPhase::Running,
@@ -250,10 +406,20 @@
                 _ => continue,
             };
             w.images.insert(spec.image.clone());
+            let what = match next {
+                TaskPhase::Running => Some(What::Starts),
+                TaskPhase::Exited(Exit::Done) => Some(What::Done),
+                _ if on_machine(*phase) => Some(What::Leaves),
+                _ => None,
+            };
+            if let Some(what) = what {
+                self.history.note(now, &id, attempt, name, what);
+            }
             *phase = next;
+            let saved = self.saved.get(&(job, task)).copied().unwrap_or(0.0);
             *until = match spec.kind {
                 Kind::Service => f64::INFINITY,
-                _ => now + spec.estimate_s,
+                _ => now + (spec.estimate_s - saved).max(0.0),
             };
             changed = true;
         }
@@ -313,9 +479,34 @@
                         .entry(key)
                         .or_insert((TaskPhase::Fetching, now + fetch));
                 }
-                Verb::Stop { .. } => {
-                    if let Some(t) = w.tasks.get_mut(&key) {
-                        t.0 = TaskPhase::Exited(Exit::Stopped { saved: true });
+                Verb::Stop { grace_s } => {
+                    let Some(t) = w.tasks.get_mut(&key) else {
+                        continue;
+                    };
+                    let spec = &self.specs[&c.job];
+                    let saves = spec.checkpoint_s > 0.0 && grace_s >= spec.save_s;
+                    match t.0 {
+                        TaskPhase::Exited(_) => {}
+                        TaskPhase::Running if saves => {
+                            let takes = match self.saving {
+                                Saving::Slow(times) => spec.save_s * times,
+                                _ => spec.save_s,
+                            };
+                            if self.saving != Saving::Fails {
+                                let left = (t.1 - now).max(0.0);
+                                let did = (spec.estimate_s - left).max(0.0);
+                                self.saved.insert((c.job, c.task), did);
+                            }
+                            *t = (TaskPhase::Saving, now + takes);
+                        }
+                        TaskPhase::Saving if grace_s > 0.0 => {}
+                        phase => {
+                            if on_machine(phase) {
+                                let task = format!("{}/{}", c.job, c.task);
+                                self.history.note(now, &task, c.attempt, name, What::Leaves);
+                            }
+                            t.0 = TaskPhase::Exited(Exit::Stopped { saved: false });
+                        }
                     }
                 }
                 Verb::Forget => {
@@ -343,7 +534,8 @@
                 commands,
                 ..
             } => {
-                let reached = !self.silent.contains(&machine);
+                let known = self.workers.contains_key(&machine);
+                let reached = known && !self.silent.contains(&machine);
                 let outcome = if !reached {
                     DirectOutcome::Unsent
                 } else if self.workers[&machine].session == session {
@@ -365,19 +557,29 @@
                 };
                 self.answer_direct(machine, flight, outcome);
             }
-            Effect::Write(batch) => {
-                let mut results = Vec::new();
-                for write in batch {
-                    self.changes += write.changes();
-                    if let Write::Roster { value, .. } | Write::Progress { value, .. } = &write {
-                        self.largest_value = self.largest_value.max(value.to_string().len());
-                    }
-                    if let Write::Roster { page, value, .. } = &write {
-                        self.roster.insert(*page, value.clone());
-                    }
-                    results.push((write, Written::Stored { version: 500 }));
+            Effect::Write(batch) if self.outage => self.withheld.push(batch),
+            Effect::Write(batch) => self.store(batch),
+            Effect::Operated {
+                ticket,
+                status,
+                body,
+            } => {
+                let body = serde_json::from_slice(&body).expect("JSON");
+                self.told.insert(ticket, (status, body));
+            }
+            Effect::Cancel { begin, .. } => {
+                // Stored at once: these users do not give up.
+                if let CancelBegin::Go { done } = begin
+                    && let Some(job) = self.cancelling.pop_front()
+                {
+                    self.over.insert(job);
+                    let phase = Phase::Cancelled;
+                    let end = Some(Standing { phase, done });
+                    self.later
+                        .push((now + 0.05, Input::CancelSettled { job, end }));
+                } else {
+                    self.cancelling.pop_front();
                 }
-                self.later.push((now + 0.05, Input::Written(results)));
             }
             Effect::Rent { request, count, .. } => {
                 let count = count.min(self.stock);
@@ -397,7 +599,7 @@
             }
             Effect::Return(machines) => {
                 for name in &machines {
-                    self.workers.remove(name);
+                    self.die(name);
                     self.returned.push(name.clone());
                 }
                 let input = Input::Returned { machines, ok: true };
@@ -408,6 +610,49 @@
         }
     }
 
+    /// The state service is there again, and carries out what waited.
+    pub fn end_outage(&mut self) {
+        self.outage = false;
+        for batch in std::mem::take(&mut self.withheld) {
+            self.store(batch);
+        }
+    }
+
+    fn store(&mut self, batch: Vec<Write>) {
+        let mut results = Vec::new();
+        self.revision += 1;
+        for write in batch {
+            self.changes += write.changes();
+            match &write {
+                Write::Roster { page, value, .. } => {
+                    self.largest_value = self.largest_value.max(value.to_string().len());
+                    self.roster.insert(*page, value.clone());
+                }
+                Write::Progress {
+                    job, chunk, value, ..
+                } => {
+                    self.largest_value = self.largest_value.max(value.to_string().len());
+                    self.progress.insert((*job, *chunk), value.clone());
+                }
+                Write::DropProgress { job, chunk, .. } => {
+                    self.progress.remove(&(*job, *chunk));
+                }
+                Write::Finish { job, .. } => {
+                    self.over.insert(*job);
+                }
+                Write::Drain { node, record, .. } => {
+                    match record {
+                        Some(record) => self.drains.insert(node.clone(), *record),
+                        None => self.drains.remove(node),
+                    };
+                }
+            }
+            let version = self.revision;
+            results.push((write, Written::Stored { version }));
+        }
+        self.later.push((self.now + 0.05, Input::Written(results)));
+    }
+
     /// A silent machine is known to be so only when the time to connect is over.
     fn answer_direct(&mut self, machine: String, flight: u64, outcome: DirectOutcome) {
         let after = match outcome {
@@ -423,6 +668,14 @@
     }
 }
 
+/// Whether a task is on its machine, as the aims and the rules count it.
+fn on_machine(phase: TaskPhase) -> bool {
+    matches!(
+        phase,
+        TaskPhase::Running | TaskPhase::Saving | TaskPhase::Waiting
+    )
+}
+
 /// A job as the state service keeps it.
 pub fn stored(body: &Value, version: u64) -> StoredJob {
     let mut whole = json!({"jobclass": "c", "owner": "team", "shape": "sweep", "rank": "normal",
@@ -448,7 +701,9 @@
             verb: match o["verb"].as_str() {
                 Some("start") => Verb::Start,
                 Some("clear") => Verb::Forget,
-                _ => Verb::Stop { grace_s: 0.0 },
+                _ => Verb::Stop {
+                    grace_s: o["drain_s"].as_f64().unwrap_or(0.0),
+                },
             },
             job,
             task,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,5 +3,6 @@
 //! simulated time; `examples/site.rs` serves them on loopback.
 
 pub mod crew;
+pub mod history;
 pub mod site;
 pub mod state;
--- a/src/coordination/relocation.rs
+++ b/src/coordination/relocation.rs
@@ -101,7 +101,8 @@
         let id = job.spec.id;
         let whole = self.is_whole_gang(ix);
         let missing = job.waiting().min(self.canaries(ix));
-        let missing = missing.saturating_sub(self.claimed(ix));
+        let sure = self.sure_claims(ix);
+        let missing = missing.saturating_sub(sure.len() as u32);
         let under_way = |core: &Self| {
             let live = core.relocations.live.iter();
             live.filter(|r| r.wanted_by == Some(id)).count()
@@ -118,12 +119,17 @@
         if !self.team_allows(job.team, &job.spec.needs) {
             return Err("its team has reached its limit".into());
         }
-        let want = self.want(ix, missing, whole).ok_or("no machine suits it")?;
+        let by_itself_s = self.by_itself_s(ix, missing as usize);
+        if by_itself_s <= SOON_S {
+            return Err("room for it comes free by itself".into());
+        }
+        let want = self.want(ix, missing, &sure, whole, by_itself_s);
+        let want = want.ok_or("no machine suits it")?;
         let limits = self.limits();
         if limits.moves == 0 {
             return Err("as many moves are under way as may be".into());
         }
-        let view = self.view(Some(ix));
+        let view = self.view(Some(ix), &sure);
         let plan = defrag::free(&view.fleet, &want, &limits).map_err(|r| r.to_string())?;
         tracing::info!(
             job = %id,
@@ -138,6 +144,12 @@
             .iter()
             .map(|mv| self.stop_s(view.copies[mv.copy as usize].job))
             .fold(SOON_S, f64::max);
+        // What it waited for elsewhere it waits for no more.
+        for m in self.machines.indices() {
+            if !sure.contains(&m) {
+                self.machines[m].claims.retain(|c| c.job != ix);
+            }
+        }
         for &m in plan.frees.iter().chain(&plan.free_already) {
             self.claim(view.machines[m as usize], ix, longest + ARRIVAL_S);
         }
@@ -145,8 +157,61 @@
         Ok(under_way(self))
     }
 
-    /// What a job wants of the planner; `None` if no known machine suits it.
-    fn want(&self, ix: u32, tasks: u32, whole: bool) -> Option<defrag::Want> {
+    /// Machines that are claimed for a job and will surely have room: moves off them are
+    /// under way, or what is on them ends in a moment. Other claims only keep new work off
+    /// a machine until the old has ended, and moves may do better.
+    fn sure_claims(&self, ix: u32) -> Vec<u32> {
+        let job = &self.jobs[ix];
+        let moving = |m: u32| {
+            let mut live = self.relocations.live.iter();
+            live.any(|r| r.wanted_by == Some(job.spec.id) && r.from == self.machines[m].name)
+        };
+        let claimed = |m: &u32| self.machines[*m].claims.iter().any(|c| c.job == ix);
+        let mut machines = self.machines.indices();
+        machines.retain(claimed);
+        machines.retain(|&m| {
+            let soon = self.drained_in(&job.spec.needs, m);
+            moving(m) || soon.is_some_and(|s| s <= SOON_S)
+        });
+        machines
+    }
+
+    /// In how many seconds a job would have its places without any move, as far as
+    /// estimates tell.
+    fn by_itself_s(&self, ix: u32, places: usize) -> f64 {
+        let job = &self.jobs[ix];
+        let mut by_zone: BTreeMap<u32, Vec<f64>> = BTreeMap::new();
+        for m in self.machines.indices() {
+            let yields = |c: &Claim| c.job == ix;
+            if self.claimable(ix, m)
+                && self.machines[m].claims.iter().all(yields)
+                && let Some(s) = self.drained_in(&job.spec.needs, m)
+            {
+                let zone = if job.spec.one_zone {
+                    self.machines[m].zone
+                } else {
+                    0
+                };
+                by_zone.entry(zone).or_default().push(s);
+            }
+        }
+        let last = by_zone.into_values().filter_map(|mut times| {
+            times.sort_by(f64::total_cmp);
+            times.get(places.saturating_sub(1)).copied()
+        });
+        last.fold(f64::INFINITY, f64::min)
+    }
+
+    /// What a job wants of the planner; `None` if no known machine suits it. A place is
+    /// worth the waiting that it spares.
+    fn want(
+        &self,
+        ix: u32,
+        tasks: u32,
+        sure: &[u32],
+        whole: bool,
+        by_itself_s: f64,
+    ) -> Option<defrag::Want> {
         let job = &self.jobs[ix];
         let tuning = &self.config.tuning;
         let place_price = (0u32..)
@@ -156,9 +221,10 @@
             .filter(|t| job.spec.needs.fits_in(&t.whole))
             .map(|t| t.price / 3600.0 * tuning.owned_price * job.spec.needs.share_of(&t.whole))
             .reduce(f64::min)?;
-        let mut by_zone = self.claimed_by_zone(ix);
-        for (z, n) in job.by_zone.iter().enumerate() {
-            by_zone[z] += n;
+        let mut by_zone = job.by_zone.clone();
+        by_zone.resize(self.zones.len(), 0);
+        for &m in sure {
+            by_zone[self.machines[m].zone as usize] += 1;
         }
         Some(defrag::Want {
             needs: job.spec.needs,
@@ -170,7 +236,7 @@
             zone: job.zone,
             spot: job.spec.spot,
             whole,
-            worth: self.weight(ix) * place_price * tuning.defragmentation.worth_s,
+            worth: self.weight(ix) * place_price * tuning.defragmentation.worth_s.min(by_itself_s),
         })
     }
 
@@ -184,7 +250,7 @@
     }
 
     /// The fleet for a plan: for a job that waits, or for a node that drains.
-    fn view(&self, want: Option<u32>) -> View {
+    fn view(&self, want: Option<u32>, sure: &[u32]) -> View {
         let now = self.now;
         let shape = want.and_then(|ix| self.jobs[ix].shape);
         let mut view = View {
@@ -206,7 +272,8 @@
             view.machines.push(m);
             let usable = self.machine_usable(m);
             let own = machine.kept_for.is_some() && machine.kept_for == shape;
-            let unclaimed = machine.claims.is_empty();
+            let weak = |c: &Claim| Some(c.job) == want && !sure.contains(&m);
+            let unclaimed = machine.claims.iter().all(weak);
             let price = if machine.spot {
                 kind.spot_price
             } else {
@@ -220,10 +287,9 @@
                 receives: usable && !own,
                 frees: usable && unclaimed && (own || machine.kept_for.is_none()),
                 whole: kind.whole,
-                room: if own && unclaimed {
-                    self.free_room(m)
-                } else {
-                    self.room_after_claims(m, u32::MAX)
+                room: match want.filter(|_| unclaimed) {
+                    Some(ix) => self.room_after_claims(m, ix),
+                    None => self.room_after_claims(m, u32::MAX),
                 },
                 price: price / 3600.0,
                 fetch_gb_per_s: kind.fetch_gb_per_s,
@@ -473,7 +539,7 @@
         if limits.moves == 0 || self.machines[m].copies.is_empty() {
             return;
         }
-        let view = self.view(None);
+        let view = self.view(None, &[]);
         let Some(at) = view.machines.iter().position(|&o| o == m) else {
             return;
         };
