--- a/crates/standins/src/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -90,6 +90,8 @@
     progress: BTreeMap<(JobId, u32), Value>,
     /// Work that was saved, in seconds.
     saved: BTreeMap<(JobId, u32), f64>,
+    /// Tasks whose result is there, whether the leader has heard of it or not.
+    completed: BTreeSet<(JobId, u32)>,
     tuning: Tuning,
     cluster: Cluster,
     types: String,
@@ -158,6 +160,7 @@
             told: BTreeMap::new(),
             progress: BTreeMap::new(),
             saved: BTreeMap::new(),
+            completed: BTreeSet::new(),
             tuning,
             cluster,
             types: text,
@@ -398,6 +401,10 @@
                 TaskPhase::Saving => TaskPhase::Exited(Exit::Stopped {
                     saved: self.saving != Saving::Fails,
                 }),
+                // The result is kept: it ends as soon as it has its image.
+                TaskPhase::Fetching if self.completed.contains(&(job, task)) => {
+                    TaskPhase::Exited(Exit::Done)
+                }
                 TaskPhase::Fetching if sick || self.mistaken.contains(&job) => {
                     TaskPhase::Exited(Exit::Error)
                 }
@@ -408,7 +415,9 @@
             w.images.insert(spec.image.clone());
             let what = match next {
                 TaskPhase::Running => Some(What::Starts),
-                TaskPhase::Exited(Exit::Done) => Some(What::Done),
+                TaskPhase::Exited(Exit::Done) => {
+                    self.completed.insert((job, task)).then_some(What::Done)
+                }
                 _ if on_machine(*phase) => Some(What::Leaves),
                 _ => None,
             };
--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -151,8 +151,11 @@
 
     pub(super) fn team_allows(&self, team: u32, needs: &Amounts) -> bool {
         let t = &self.teams[team as usize];
-        (t.most.cpus == 0 || t.used.cpus + needs.cpus <= t.most.cpus)
-            && (t.most.gpus == 0 || t.used.gpus + needs.gpus <= t.most.gpus)
+        let mut all = t.used;
+        all.add(&t.unknown);
+        all.add(needs);
+        (t.most.cpus == 0 || all.cpus <= t.most.cpus)
+            && (t.most.gpus == 0 || all.gpus <= t.most.gpus)
     }
 
     /// Whether the job's own conditions allow the machine at all.
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -45,6 +45,7 @@
                 guarantee: Amounts::new(team.cpus, team.gpus, 0.0),
                 most: Amounts::new(team.cpus_max, team.gpus_max, 0.0),
                 used: Amounts::default(),
+                unknown: Amounts::default(),
             });
         }
         let value_bytes = (config.cluster.state.value_kb * 1024.0) as usize;
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -679,6 +679,35 @@
             .collect()
     }
 
+    /// What silent machines may hold of each limited team: at most all of them, and at
+    /// most what has been started of its old jobs and not been found. Jobs that came
+    /// after the election were once started beside that, over the team's limit.
+    fn count_unknown(&mut self, unheard: &[u32], unknown: bool) {
+        for team in 0..self.teams.len() {
+            let most = &self.teams[team].most;
+            let mut hidden = Amounts::default();
+            if (most.cpus > 0 || most.gpus > 0) && (unknown || !unheard.is_empty()) {
+                let live = self.jobs.iter().filter(|(_, j)| j.old);
+                for (_, job) in live.filter(|(_, j)| j.team as usize == team) {
+                    let left = i64::from(job.waiting());
+                    hidden.cpus += job.spec.needs.cpus * left;
+                    hidden.gpus += job.spec.needs.gpus * left;
+                }
+                let mut wholes = Amounts::default();
+                for &m in unheard {
+                    if let Some(kind) = self.types.get(self.machines[m].kind) {
+                        wholes.add(&kind.whole);
+                    }
+                }
+                if !unknown {
+                    hidden.cpus = hidden.cpus.min(wholes.cpus);
+                    hidden.gpus = hidden.gpus.min(wholes.gpus);
+                }
+            }
+            self.teams[team].unknown = hidden;
+        }
+    }
+
     /// Holds back the jobs of which a silent machine may hold something: those
     /// stored before the election that an earlier leader could have put there.
     /// Once one taken spot machine held back every service for a whole lease.
@@ -700,6 +729,7 @@
                     || unheard.iter().any(|&m| self.machine_suits(ix, m)));
             self.jobs[ix].blocked = blocked;
         }
+        self.count_unknown(&unheard, unknown);
         let blocked = self.jobs.iter().filter(|(_, j)| j.blocked).count();
         self.settled = unheard.is_empty() && !unknown;
         if blocked > 0 {
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -28,6 +28,8 @@
     pub guarantee: Amounts,
     pub most: Amounts,
     pub used: Amounts,
+    /// What machines that have not told this leader yet may hold of it besides.
+    pub unknown: Amounts,
 }
 
 pub struct Core {
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -450,3 +450,34 @@
     crew.run(20.0);
     assert_eq!(tasks_placed(&crew, job), 60);
 }
+
+/// A new leader held back the old jobs of a limited team while a machine that may hold
+/// some of them was silent, but started a job that came later beside them: the team used
+/// more than its limit. Found by random moves and faults.
+#[test]
+fn a_later_job_of_a_limited_team_counts_what_silent_machines_may_hold() {
+    let mut limited = cluster();
+    limited["teams"] = json!([{"name": "team", "cpus_max": 12.0}]);
+    let mut crew = Crew::new(TYPES, limited, 50);
+    for i in 0..4 {
+        crew.add(&format!("a-small-{i}"), "small", "a", 0.1 + i as f64 * 0.4);
+    }
+    crew.run(3.0);
+    let old = crew.submit(&json!({"uid": "wk-000001", "shards": 8, "runtime_s": 100.0}));
+    crew.run(5.0);
+    assert_eq!(tasks_placed(&crew, old), 8);
+    let hidden: Vec<String> = crew.places(old).into_iter().map(|p| p.1.into()).collect();
+    crew.silent.insert(hidden[0].clone());
+    crew.next_leader();
+    crew.run(0.5);
+    let later = crew.submit(&json!({"uid": "wk-000002", "shards": 12, "runtime_s": 100.0}));
+    for _ in 0..60 {
+        crew.run(0.1);
+        let used = tasks_placed(&crew, old) + tasks_placed(&crew, later);
+        assert!(used <= 12, "{used} CPUs at {:.1}", crew.now);
+    }
+    assert!(
+        tasks_placed(&crew, later) > 0,
+        "what surely fits starts at once"
+    );
+}
