--- a/crates/operators/src/client.rs
+++ b/crates/operators/src/client.rs
@@ -37,6 +37,15 @@
     Unexpected(u16, String),
 }
 
+/// Names of nodes stand in paths as they are; one that could not is no node's.
+fn path_of(node: &str, verb: &str) -> Result<String, ClientError> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._:".contains(&b);
+    if node.is_empty() || !node.bytes().all(plain) {
+        return Err(ClientError::NotFound(format!("there is no node {node:?}")));
+    }
+    Ok(format!("/operator/nodes/{node}/{verb}"))
+}
+
 pub struct Client {
     addresses: Vec<SocketAddr>,
     key: String,
@@ -89,14 +98,14 @@
     /// # Errors
     /// [`ClientError::Confirm`] if a protected class would be disturbed.
     pub async fn drain(&self, node: &str, order: &DrainOrder) -> Result<Node, ClientError> {
-        let path = format!("/operator/nodes/{node}/drain");
+        let path = path_of(node, "drain")?;
         self.read(Method::POST, &path, order).await
     }
 
     /// # Errors
     /// See [`ClientError`].
     pub async fn undrain(&self, node: &str) -> Result<Node, ClientError> {
-        let path = format!("/operator/nodes/{node}/undrain");
+        let path = path_of(node, "undrain")?;
         self.read(Method::POST, &path, &DrainOrder::default()).await
     }
 
--- a/crates/standins/src/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -90,6 +90,8 @@
     progress: BTreeMap<(JobId, u32), Value>,
     /// Work that was saved, in seconds.
     saved: BTreeMap<(JobId, u32), f64>,
+    /// Seconds of work that stops have lost: unsaved, or spent on saving.
+    pub lost_s: f64,
     /// Tasks whose result is there, whether the leader has heard of it or not.
     completed: BTreeSet<(JobId, u32)>,
     tuning: Tuning,
@@ -160,6 +162,7 @@
             told: BTreeMap::new(),
             progress: BTreeMap::new(),
             saved: BTreeMap::new(),
+            lost_s: 0.0,
             completed: BTreeSet::new(),
             tuning,
             cluster,
@@ -501,6 +504,7 @@
                                 Saving::Slow(times) => spec.save_s * times,
                                 _ => spec.save_s,
                             };
+                            self.lost_s += takes;
                             if self.saving != Saving::Fails {
                                 let left = (t.1 - now).max(0.0);
                                 let did = (spec.estimate_s - left).max(0.0);
@@ -510,6 +514,11 @@
                         }
                         TaskPhase::Saving if grace_s > 0.0 => {}
                         phase => {
+                            if phase == TaskPhase::Running && spec.kind != Kind::Service {
+                                let saved = self.saved.get(&(c.job, c.task)).copied();
+                                let done = spec.estimate_s - (t.1 - now) - saved.unwrap_or(0.0);
+                                self.lost_s += done.max(0.0);
+                            }
                             if on_machine(phase) {
                                 let task = format!("{}/{}", c.job, c.task);
                                 self.history.note(now, &task, c.attempt, name, What::Leaves);
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -323,6 +323,7 @@
             entitled: false,
             warned_at: 0.0,
             movable: movable(&self.config.tuning, &spec),
+            pinned: pinned(&self.config.tuning, &spec),
             protected: protected(&self.config.tuning, &spec),
             spec,
         };
@@ -544,8 +545,12 @@
 /// Whether a job's tasks may be moved while they run: the stricter of its own mark and
 /// its class's counts, and what is protected never moves.
 fn movable(tuning: &Tuning, spec: &JobSpec) -> bool {
-    let class = tuning.class.get(&spec.class).and_then(|c| c.movable);
-    spec.movable != Some(false) && class != Some(false) && !protected(tuning, spec)
+    !pinned(tuning, spec) && !protected(tuning, spec)
+}
+
+fn pinned(tuning: &Tuning, spec: &JobSpec) -> bool {
+    let class = tuning.class.get(&spec.class);
+    spec.movable == Some(false) || class.is_some_and(|c| c.protected || c.movable == Some(false))
 }
 
 /// How long after its submission finishing a job is still worth most.
--- a/src/coordination/drains.rs
+++ b/src/coordination/drains.rs
@@ -329,7 +329,7 @@
         };
         let waiting = |(id, reason): (&crate::protocol::JobId, &String)| {
             let job = &self.jobs[*self.job_ids.get(id)?];
-            Some(views::Waiting {
+            (job.waiting() > 0).then(|| views::Waiting {
                 job: format!("{id} ({})", job.spec.class),
                 tasks: job.waiting(),
                 waited_s: self.now - job.seen_at,
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -123,6 +123,8 @@
     pub warned_at: Time,
     /// By its own mark and its class's, the stricter: its tasks may be moved.
     pub movable: bool,
+    /// Marked by its user or by operators: it stays where it is, whoever plans.
+    pub pinned: bool,
     /// An operator is asked before a drain disturbs it.
     pub protected: bool,
 }
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -103,7 +103,7 @@
                 break;
             }
             let settled = copy.running_since.is_some_and(|t| self.now - t > SETTLED_S);
-            if copy.stop.is_some() || !settled {
+            if copy.stop.is_some() || !settled || self.jobs[key.job].pinned {
                 return None;
             }
             room.add(&self.jobs[key.job].spec.needs);
--- a/src/coordination/relocation.rs
+++ b/src/coordination/relocation.rs
@@ -465,6 +465,7 @@
                 self.let_go(r);
             }
             self.relocations.recent.push_back((r.clone(), end));
+            self.relocations.ended += 1;
             false
         });
         self.relocations.live = live;
@@ -553,6 +554,11 @@
         live.filter(|r| !r.left && r.from == name).count() as u32
     }
 
+    /// Moves that have ended under this leader, however they did.
+    pub fn moves_ended(&self) -> usize {
+        self.relocations.ended
+    }
+
     /// How far a move is.
     pub(super) fn stage(r: &Relocation) -> &'static str {
         match r.left {
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -199,6 +199,7 @@
     pub(super) live: Vec<Relocation>,
     /// The last ones that ended, and how, the newest last.
     pub(super) recent: VecDeque<(Relocation, &'static str)>,
+    pub(super) ended: usize,
     /// When each task last moved.
     pub(super) moved_at: BTreeMap<(JobId, u32), Time>,
     /// Of jobs that wait for whole machines: how often moves for them came to nothing,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -80,3 +80,56 @@
             .starts_with("leader_ttl_ms")
     );
 }
+
+#[test]
+fn the_blocks_of_what_is_new_are_checked() {
+    let text = include_str!("../deploy/defragmentation.hcl");
+    let tuning = Tuning::load(&file("shipped.hcl", text)).expect("what is shipped is good");
+    assert!(tuning.defragmentation.enabled && tuning.operators.is_none());
+    assert!(!Tuning::default().defragmentation.enabled, "off by default");
+    let full = r#"
+        class "porting" { protected = true }
+        class "bake" { movable = false }
+        operators { key = "sixteen-or-more-characters" }
+        log {
+          format = "json"
+          time = true
+        }"#;
+    let tuning = Tuning::load(&file("blocks.hcl", full)).expect("good");
+    assert_eq!(tuning.class["bake"].movable, Some(false));
+    assert!(
+        !format!("{tuning:?}").contains("sixteen"),
+        "a key is not printed"
+    );
+    for (text, named) in [
+        ("defragmentation { enabled = 1 }", "defragmentation.enabled"),
+        (
+            "defragmentation { most_moves = 0 }",
+            "defragmentation.most_moves: found 0, allowed is 1 to 1000",
+        ),
+        (
+            "defragmentation { away_share = 1.5 }",
+            "defragmentation.away_share: found 1.5, allowed is 0 to 1",
+        ),
+        ("defragmentation { lost_works = 1 }", "lost_works"),
+        (
+            "class \"a\" {\n protected = true\n movable = true\n}",
+            "class.a.movable: found true, allowed is only false",
+        ),
+        ("class \"a\" { movable = \"no\" }", "class.a.movable"),
+        (
+            "operators { key = \"short\" }",
+            "operators.key: found a key of 5 bytes, allowed are 16 or more",
+        ),
+        ("operators { }", "missing field `key`"),
+        ("log { format = \"xml\" }", "log.format"),
+    ] {
+        let error = Tuning::load(&file("bad-block.hcl", text))
+            .expect_err(text)
+            .to_string();
+        assert!(
+            error.contains(named) && !error.contains('\n'),
+            "{text}: {error}"
+        );
+    }
+}
--- a/tests/whole_nodes.rs
+++ b/tests/whole_nodes.rs
@@ -128,6 +128,24 @@
         .await;
     }
 
+    /// The command as an operator gives it: its exit code and what it prints.
+    async fn command(&self, args: &[&str], key: &str) -> (Option<i32>, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_copperfield"));
+        command
+            .args(args)
+            .arg("--address")
+            .arg(self.site.public[1].to_string())
+            .env("COPPERFIELD_KEY", key.replace(' ', "-"))
+            .stdin(Stdio::null());
+        let done = tokio::task::spawn_blocking(move || command.output()).await;
+        let out = done.expect("no panic").expect("starts");
+        let text = [out.stdout, out.stderr].concat();
+        (
+            out.status.code(),
+            String::from_utf8_lossy(&text).into_owned(),
+        )
+    }
+
     async fn all_ready(&self) {
         for _ in 0..300 {
             let nodes = self.client.nodes().await.unwrap_or_default();
@@ -316,6 +334,30 @@
         matches!(refused, Err(ClientError::Confirm(_))),
         "{refused:?}"
     );
+    let (code, out) = proof.command(&["drain", &served], KEY).await;
+    assert_eq!(code, Some(4), "{out}");
+    assert!(out.contains("protected: wk-000990 (porting)"), "{out}");
+    let (code, out) = proof.command(&["nodes", "--json"], KEY).await;
+    let listed: Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!((code, listed.as_array().map(Vec::len)), (Some(0), Some(4)));
+    let (code, out) = proof.command(&["moves"], KEY).await;
+    assert_eq!(code, Some(0), "{out}");
+    assert!(out.contains("wk-000900"), "{out}");
+    for (args, code) in [
+        (vec!["drain", "nowhere"], 3),
+        (vec!["undrain", "no such node"], 3),
+        (vec!["drain", &served, "--deadline", "soon"], 2),
+    ] {
+        let (found, out) = proof.command(&args, KEY).await;
+        assert_eq!(found, Some(code), "{args:?}: {out}");
+    }
+    assert_eq!(
+        proof
+            .command(&["nodes"], "another key, a wrong one")
+            .await
+            .0,
+        Some(6)
+    );
     let stranger = Client::new(proof.site.public.clone(), "another key, a wrong one".into());
     assert!(matches!(
         stranger.nodes().await,
