--- a/src/coordination/relocation.rs
+++ b/src/coordination/relocation.rs
@@ -88,7 +88,10 @@
                 planned += 1;
                 match self.free_for(ix) {
                     Ok(moves) => format!("{moves} moves are under way"),
-                    Err(reason) => reason,
+                    Err(reason) => {
+                        tracing::debug!(job = %id, reason, "nothing moves");
+                        reason
+                    }
                 }
             };
             self.relocations.reasons.insert(id, reason);
