Moves: lower work gives way at their targets and to the job that waits

What may be stopped for a job was counted neither where its tasks go nor where it waits. Its price is the work its stop loses. Tests: the planner's and a whole site full of guests; every task ends once.

--- a/crates/defrag/benches/plan.rs
+++ b/crates/defrag/benches/plan.rs
@@ -27,6 +27,7 @@
                 price: 0.003,
                 fetch_gb_per_s: 1.0,
                 images: vec![m % 7, m % 11],
+                yields: Vec::new(),
             })
             .collect(),
         works: Vec::new(),
@@ -43,6 +44,7 @@
         };
         fleet.works.push(Work {
             needs,
+            rank: 1,
             weight: 10.0,
             kinds: None,
             zone: None,
@@ -82,6 +84,7 @@
 fn want() -> Want {
     Want {
         needs: Amounts::new(48.0, 8.0, 256.0),
+        rank: 1,
         tasks: 4,
         one_zone: true,
         zone_cap: u32::MAX,
--- a/crates/defrag/src/choose.rs
+++ b/crates/defrag/src/choose.rs
@@ -4,7 +4,7 @@
 
 use copperfield_protocol::job::Amounts;
 
-use crate::fleet::{Fleet, Limits};
+use crate::fleet::{Fleet, Limits, Want};
 use crate::place::Targets;
 
 /// Machines hold a few dozen tasks at most; past so many steps of the search the best
@@ -104,6 +104,7 @@
     fleet: &Fleet,
     index: &Index,
     m: u32,
+    want: &Want,
     limits: &Limits,
     gone: &BTreeSet<u32>,
     stuck: &BTreeSet<u32>,
@@ -112,8 +113,10 @@
     let mut items: Vec<Item> = Vec::new();
     for &c in &index.by_machine[m as usize] {
         let copy = &fleet.copies[c as usize];
-        let frees = fleet.works[copy.work as usize].needs;
-        if gone.contains(&c) || copy.ends_in_s <= limits.soon_s {
+        let work = &fleet.works[copy.work as usize];
+        let frees = work.needs;
+        let gives_way = work.rank < want.rank && !work.gang;
+        if gone.contains(&c) || copy.ends_in_s <= limits.soon_s || gives_way {
             room.add(&frees);
         } else if !stuck.contains(&c) && index.moves(fleet, c, limits) {
             items.push((index.cost(fleet, c, limits), c, frees));
@@ -128,14 +131,14 @@
     fleet: &Fleet,
     index: &Index,
     m: u32,
-    needs: &Amounts,
+    want: &Want,
     limits: &Limits,
 ) -> Option<f64> {
     let nothing = BTreeSet::new();
-    let (room, items) = items(fleet, index, m, limits, &nothing, &nothing);
+    let (room, items) = items(fleet, index, m, want, limits, &nothing, &nothing);
     let mut bound = 0.0f64;
     let mut ratios: Vec<(f64, i64)> = Vec::with_capacity(items.len());
-    for (d, missing) in missing(needs, &room).into_iter().enumerate() {
+    for (d, missing) in missing(&want.needs, &room).into_iter().enumerate() {
         if missing <= 0 {
             continue;
         }
@@ -173,19 +176,20 @@
     std::array::from_fn(|d| needs[d] - room[d])
 }
 
-/// The cheapest copies whose going lets `needs` fit, `None` if nothing does. `gone`
+/// The cheapest copies whose going lets a task fit, `None` if nothing does. `gone`
 /// are copies that the plan moves already, wherever they are; `stuck` are copies that
 /// found no target.
 pub(crate) fn cheapest(
     fleet: &Fleet,
     index: &Index,
     m: u32,
-    needs: &Amounts,
+    want: &Want,
     limits: &Limits,
     gone: &BTreeSet<u32>,
     stuck: &BTreeSet<u32>,
 ) -> Option<Choice> {
-    let (room, mut items) = items(fleet, index, m, limits, gone, stuck);
+    let needs = &want.needs;
+    let (room, mut items) = items(fleet, index, m, want, limits, gone, stuck);
     if needs.fits_in(&room) {
         return Some(Choice {
             cost: 0.0,
--- a/crates/defrag/src/fleet.rs
+++ b/crates/defrag/src/fleet.rs
@@ -24,6 +24,17 @@
     pub fetch_gb_per_s: f64,
     /// Images it has.
     pub images: Vec<u32>,
+    /// What on it gives way to higher work, the cheapest first.
+    pub yields: Vec<Yield>,
+}
+
+/// A task that is stopped where work of a higher rank wants its room.
+#[derive(Debug, Clone, Copy)]
+pub struct Yield {
+    pub rank: u8,
+    pub needs: Amounts,
+    /// What stopping it costs, in money.
+    pub cost: f64,
 }
 
 /// A job with tasks on machines.
@@ -31,6 +42,8 @@
 pub struct Work {
     /// What each task takes.
     pub needs: Amounts,
+    /// Work of a higher rank may have it stopped; never of the same.
+    pub rank: u8,
     /// How much a second of it counts beside other work (the auction's π·w).
     pub weight: f64,
     /// Types its tasks may run on; `None`: any.
@@ -82,6 +95,8 @@
 pub struct Want {
     /// What each of its tasks takes of its machine.
     pub needs: Amounts,
+    /// What is of a lower rank on a machine gives way to it, unless it is a gang.
+    pub rank: u8,
     /// Tasks that wait for a place at once.
     pub tasks: u32,
     /// All places must be in one zone.
@@ -155,7 +170,36 @@
     /// What a move costs in all.
     pub fn cost_to(&self, c: u32, to: u32, limits: &Limits) -> f64 {
         let copy = &self.copies[c as usize];
-        let fetch_s = self.fetch_s(&self.works[copy.work as usize], to);
-        self.cost(c, limits) + self.rate(copy) * fetch_s
+        let work = &self.works[copy.work as usize];
+        let stops = self.stops(work, to).unwrap_or(f64::INFINITY);
+        self.cost(c, limits) + self.rate(copy) * self.fetch_s(work, to) + stops
+    }
+
+    /// What has to be stopped on a machine so that a task fits, in money; 0 where there
+    /// is room, `None` if it cannot.
+    pub(crate) fn stops(&self, work: &Work, m: u32) -> Option<f64> {
+        let machine = &self.machines[m as usize];
+        let mut room = machine.room;
+        let mut cost = 0.0;
+        for y in &machine.yields {
+            if work.needs.fits_in(&room) {
+                break;
+            }
+            if y.rank < work.rank {
+                room.add(&y.needs);
+                cost += y.cost;
+            }
+        }
+        work.needs.fits_in(&room).then_some(cost)
+    }
+
+    /// Room of a machine for work of a rank, what gives way to it included.
+    pub(crate) fn room_for(&self, rank: u8, m: u32) -> Amounts {
+        let machine = &self.machines[m as usize];
+        let mut room = machine.room;
+        for y in machine.yields.iter().filter(|y| y.rank < rank) {
+            room.add(&y.needs);
+        }
+        room
     }
 }
--- a/crates/defrag/src/lib.rs
+++ b/crates/defrag/src/lib.rs
@@ -22,5 +22,5 @@
 mod place;
 mod plan;
 
-pub use fleet::{Copy, Fleet, Limits, Machine, Want, Work};
+pub use fleet::{Copy, Fleet, Limits, Machine, Want, Work, Yield};
 pub use plan::{Move, Plan, Reason, empty, free};
--- a/crates/defrag/src/place.rs
+++ b/crates/defrag/src/place.rs
@@ -2,7 +2,8 @@
 //!
 //! A target must have the room while everything is still where it was: a move
 //! claims its target first and stops the task after that. So nothing in a plan
-//! counts on room that another move of the plan has yet to free.
+//! counts on room that another move of the plan has yet to free; lower work at the
+//! target gives way, for a price.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,9 +28,9 @@
 }
 
 impl Spoken {
-    fn room(&self, fleet: &Fleet, m: u32) -> Amounts {
+    fn room(&self, fleet: &Fleet, rank: u8, m: u32) -> Amounts {
         let taken = self.room.get(&m).copied().unwrap_or_default();
-        let mut room = fleet.machines[m as usize].room;
+        let mut room = fleet.room_for(rank, m);
         room.sub(&taken);
         room
     }
@@ -90,8 +91,8 @@
     best
 }
 
-/// For each job the machines that could run a task of it, best first: the one where it
-/// loses the least to the fetch; between equals the one whose share costs least, then the
+/// For each job the machines that could run a task of it, best first: the one where
+/// the least is lost to the fetch and to what gives way; between equals the one whose share costs least, then the
 /// one that is left with the least room. Made when first asked for, and then kept: one
 /// plan tries the same tasks many times.
 #[derive(Debug, Default)]
@@ -111,14 +112,19 @@
     let work = &fleet.works[w as usize];
     let mut all: Vec<(f64, f64, f64, u32)> = Vec::new();
     for (m, machine) in (0u32..).zip(&fleet.machines) {
-        if !machine.receives || !work.needs.fits_in(&machine.room) || !work.suits(m, machine) {
+        if !machine.receives || !work.suits(m, machine) {
             continue;
         }
+        let Some(stops) = fleet.stops(work, m) else {
+            continue;
+        };
         let mut after = machine.room;
         after.sub(&work.needs);
-        let fetch_s = fleet.fetch_s(work, m);
+        // The fetch in money, as for a machine of this price.
+        let rate = work.weight * machine.price * work.needs.share_of(&machine.whole);
+        let loses = stops + rate * fleet.fetch_s(work, m);
         let rent = machine.price * work.needs.share_of(&machine.whole);
-        all.push((fetch_s, rent, after.share_of(&machine.whole), m));
+        all.push((loses, rent, after.share_of(&machine.whole), m));
     }
     let order = |a: &(f64, f64, f64, u32), b: &(f64, f64, f64, u32)| {
         a.0.total_cmp(&b.0)
@@ -153,6 +159,6 @@
         let here = work.by_zone.get(there as usize).copied().unwrap_or(0);
         let planned = spoken.zones.get(&(copy.work, there)).copied().unwrap_or(0);
         i64::from(here) + planned < i64::from(work.zone_cap)
-            && work.needs.fits_in(&spoken.room(fleet, m))
+            && work.needs.fits_in(&spoken.room(fleet, work.rank, m))
     })
 }
--- a/crates/defrag/src/plan.rs
+++ b/crates/defrag/src/plan.rs
@@ -205,13 +205,20 @@
 
     /// The same machines come up again and again while nothing on them has changed.
     fn choose(&self, m: u32, gone: &BTreeSet<u32>, stuck: &BTreeSet<u32>) -> Option<Choice> {
-        let needs = &self.want.needs;
         let copies = &self.index.by_machine[m as usize];
         let same = !copies.iter().any(|c| gone.contains(c) || stuck.contains(c));
         if same && let Some(known) = self.known.borrow().get(&m) {
             return known.clone();
         }
-        let choice = cheapest(self.fleet, self.index, m, needs, self.limits, gone, stuck);
+        let choice = cheapest(
+            self.fleet,
+            self.index,
+            m,
+            self.want,
+            self.limits,
+            gone,
+            stuck,
+        );
         if same {
             self.known.borrow_mut().insert(m, choice.clone());
         }
@@ -290,7 +297,7 @@
             continue;
         }
         suitable = true;
-        let Some(bound) = at_least(fleet, index, m, &want.needs, limits) else {
+        let Some(bound) = at_least(fleet, index, m, want, limits) else {
             continue;
         };
         if bound > 0.0 {
@@ -298,7 +305,7 @@
             continue;
         }
         // It may have room for more than one.
-        let mut room = machine.room;
+        let mut room = fleet.room_for(want.rank, m);
         loop {
             offer.free_already.push(m);
             room.sub(&want.needs);
--- a/crates/defrag/tests/quality.rs
+++ b/crates/defrag/tests/quality.rs
@@ -1,6 +1,6 @@
 //! What every plan must keep, and how far plans are from the best there are.
 
-use copperfield_defrag::{Copy, Fleet, Limits, Machine, Reason, Want, Work, empty, free};
+use copperfield_defrag::{Copy, Fleet, Limits, Machine, Reason, Want, Work, Yield, empty, free};
 use copperfield_protocol::job::Amounts;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,12 +27,14 @@
         price: 1.0,
         fetch_gb_per_s: 1.0,
         images: vec![0],
+        yields: Vec::new(),
     }
 }
 
 fn work(needs: i64) -> Work {
     Work {
         needs: gpus(needs),
+        rank: 1,
         weight: 1.0,
         kinds: None,
         zone: None,
@@ -51,6 +53,7 @@
 fn want(tasks: u32, needs: i64) -> Want {
     Want {
         needs: gpus(needs),
+        rank: 1,
         tasks,
         one_zone: true,
         zone_cap: u32::MAX,
@@ -163,6 +166,33 @@
     assert_eq!(free(&site.0, &want(1, 4), &LIMITS), Err(Reason::InTheWay));
 }
 
+/// Guests fill what is left of every machine: they give way to what moves, for a price,
+/// and to the job that waits.
+#[test]
+fn lower_work_gives_way_to_what_moves_and_to_what_waits() {
+    let mut site = scattered();
+    for m in 0..4 {
+        site.0.works.push(work(2));
+        let guest = site.0.works.len() - 1;
+        site.0.works[guest].rank = 0;
+        site.put(m, guest, 5.0);
+        let cost = 10.0 - f64::from(m);
+        let needs = gpus(2);
+        site.0.machines[m as usize].yields = vec![Yield {
+            rank: 0,
+            needs,
+            cost,
+        }];
+    }
+    let plan = free(&site.0, &want(1, 4), &LIMITS).expect("a plan");
+    assert_eq!(plan.moves.len(), 1, "guests are not moved: {plan:?}");
+    let to = plan.moves[0].to;
+    assert_eq!((plan.frees[0], to), (0, 3), "the cheapest guest gives way");
+    assert_eq!(plan.cost, 0.5 * (1.0 + 1.0) + 7.0);
+    site.0.works[0].rank = 0;
+    assert_eq!(free(&site.0, &want(1, 4), &LIMITS), Err(Reason::ComesFree));
+}
+
 #[test]
 fn a_move_happens_only_if_what_it_frees_is_worth_more() {
     let mut cheap = want(1, 4);
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -308,7 +308,7 @@
         }
     }
 
-    fn grace_for(&self, victims: &[CopyKey]) -> f64 {
+    pub(super) fn grace_for(&self, victims: &[CopyKey]) -> f64 {
         victims
             .iter()
             .map(|key| self.grace_of(key.job))
--- a/src/coordination/relocation.rs
+++ b/src/coordination/relocation.rs
@@ -13,6 +13,7 @@
 use copperfield_protocol::job::Amounts;
 
 use crate::protocol::JobId;
+use crate::protocol::cloud::MachineType;
 use crate::protocol::worker::TaskPhase;
 
 use super::gangs::grace_to_save;
@@ -142,6 +143,9 @@
             cost = plan.cost,
             "whole machines are freed"
         );
+        if plan.moves.is_empty() {
+            return Err("room for it comes free by itself".into());
+        }
         let longest = plan
             .moves
             .iter()
@@ -156,7 +160,12 @@
         for &m in plan.frees.iter().chain(&plan.free_already) {
             self.claim(view.machines[m as usize], ix, longest + ARRIVAL_S);
         }
-        self.begin(&view, &plan.moves, Some(id));
+        if !self.begin(&view, &plan.moves, Some(id)) {
+            return Err("room at a target is gone again".into());
+        }
+        for &m in plan.frees.iter().chain(&plan.free_already) {
+            self.clear_guests(view.machines[m as usize], ix);
+        }
         Ok(under_way(self))
     }
 
@@ -231,6 +240,7 @@
         }
         Some(defrag::Want {
             needs: job.spec.needs,
+            rank: job.spec.priority as u8,
             tasks,
             one_zone: job.spec.one_zone,
             zone_cap: job.zone_cap(),
@@ -297,6 +307,7 @@
                 price: price / 3600.0,
                 fetch_gb_per_s: kind.fetch_gb_per_s,
                 images: machine.images.clone(),
+                yields: self.yields(m, kind, price / 3600.0),
             });
             for (&job, _) in machine.failed.iter().filter(|(_, t)| **t > now) {
                 avoid.entry(job).or_default().push(at);
@@ -326,6 +337,28 @@
         view
     }
 
+    /// What on a machine gives way to higher work, and for how much: what its stop loses,
+    /// in the money that moves cost.
+    fn yields(&self, m: u32, kind: &MachineType, price: f64) -> Vec<defrag::Yield> {
+        let copies = self.machines[m].copies.iter();
+        let stoppable =
+            copies.filter(|(k, c)| c.possible() && c.stop.is_none() && !self.is_whole_gang(k.job));
+        let mut yields: Vec<defrag::Yield> = stoppable
+            .map(|(key, copy)| {
+                let spec = &self.jobs[key.job].spec;
+                let (_, lost_s) = self.prospects(key, copy);
+                let share = spec.needs.share_of(&kind.whole);
+                defrag::Yield {
+                    rank: spec.priority as u8,
+                    needs: spec.needs,
+                    cost: self.weight(key.job) * price * share * (lost_s + MOVE_S),
+                }
+            })
+            .collect();
+        yields.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        yields
+    }
+
     fn work(&self, ix: u32, away: u32) -> defrag::Work {
         let job = &self.jobs[ix];
         let share = self.config.tuning.defragmentation.away_share;
@@ -337,6 +370,7 @@
         };
         defrag::Work {
             needs: job.spec.needs,
+            rank: job.spec.priority as u8,
             weight: self.weight(ix),
             kinds: job.types.clone(),
             zone: job.zone,
@@ -407,8 +441,57 @@
         gang_s + workers.report_s * 1.25 + PROOF_S
     }
 
-    /// Claims all targets, then stops the tasks in order.
-    fn begin(&mut self, view: &View, moves: &[defrag::Move], wanted_by: Option<JobId>) {
+    /// Stops what is of a lower rank on a machine, as far as the job needs its room beside
+    /// what leaves anyway.
+    fn clear_guests(&mut self, m: u32, ix: u32) {
+        let needs = self.jobs[ix].spec.needs;
+        let mut room = self.free_room(m);
+        let mut guests: Vec<(f64, CopyKey)> = Vec::new();
+        for (key, copy) in self.machines[m].copies.iter().filter(|(_, c)| c.possible()) {
+            let job = &self.jobs[key.job];
+            let (ends_in_s, lost_s) = self.prospects(key, copy);
+            if copy.stop.is_some() || ends_in_s <= SOON_S {
+                room.add(&job.spec.needs);
+            } else if job.spec.priority < self.jobs[ix].spec.priority
+                && !self.is_whole_gang(key.job)
+            {
+                guests.push((self.weight(key.job) * (lost_s + MOVE_S), *key));
+            }
+        }
+        guests.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, key) in guests {
+            if needs.fits_in(&room) {
+                return;
+            }
+            room.add(&self.jobs[key.job].spec.needs);
+            self.stop_in_order(m, key);
+        }
+    }
+
+    /// Claims all targets, where lower work gives way if need be, and then stops the tasks
+    /// in order; or does nothing if a target turns out to have no room.
+    fn begin(&mut self, view: &View, moves: &[defrag::Move], wanted_by: Option<JobId>) -> bool {
+        let mut stops = Vec::new();
+        let mut held: Vec<(u32, u32)> = Vec::new();
+        for mv in moves {
+            let job = view.copies[mv.copy as usize].job;
+            let to = view.machines[mv.to as usize];
+            let Some((_, victims)) = self.victims(job, to) else {
+                for (m, job) in held {
+                    self.drop_hold(m, job);
+                }
+                return false;
+            };
+            let stop_s = self.stop_s(job) + self.grace_for(&victims);
+            let start_s = self.fetch_s(job, to) * 1.5 + ARRIVAL_S;
+            self.hold(to, job, stop_s + start_s);
+            held.push((to, job));
+            stops.extend(victims.into_iter().map(|key| (to, key)));
+        }
+        // The same guest may give way to two moves: one stop does for both.
+        for (m, key) in stops {
+            self.stop_in_order(m, key);
+        }
         let mut going = Vec::new();
         for mv in moves {
             let key = view.copies[mv.copy as usize];
@@ -416,7 +499,6 @@
             let (from, to) = (view.machines[from as usize], view.machines[mv.to as usize]);
             let stop_s = self.stop_s(key.job);
             let start_s = self.fetch_s(key.job, to) * 1.5 + ARRIVAL_S;
-            self.hold(to, key.job, stop_s + start_s);
             let relocation = Relocation {
                 id: self.jobs[key.job].spec.id,
                 key,
@@ -443,6 +525,7 @@
         for (from, key) in going {
             self.stop_in_order(from, key);
         }
+        true
     }
 
     /// A claim that stands before any task of the job waits.
@@ -530,8 +613,12 @@
         let Some(&to) = self.machine_ids.get(&r.to) else {
             return;
         };
-        let claims = &mut self.machines[to].claims;
-        if let Some(c) = claims.iter_mut().find(|c| c.job == r.key.job && c.held) {
+        self.drop_hold(to, r.key.job);
+    }
+
+    fn drop_hold(&mut self, m: u32, ix: u32) {
+        let claims = &mut self.machines[m].claims;
+        if let Some(c) = claims.iter_mut().find(|c| c.job == ix && c.held) {
             c.count = c.count.saturating_sub(1);
         }
         claims.retain(|c| c.count > 0);
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -469,3 +469,24 @@
     assert_eq!(site.crew.told[&ticket].0, 200);
     assert_eq!(site.crew.drains.len(), 1);
 }
+
+/// Guests of a lower rank fill what is free: they give way to what moves and to the job
+/// that waits, and every one of them still ends once.
+#[test]
+fn guests_give_way_to_what_moves() {
+    let mut site = scattered(json!({}), tuning());
+    let guests = gpu_task(
+        200,
+        json!({"rank": "best_effort", "shards": 8, "cpus": 2.0, "runtime_s": 600.0}),
+    );
+    let guests = site.crew.submit(&guests);
+    site.crew.run(10.0);
+    assert_eq!(site.placed(guests), 8, "nothing is free");
+    let job = site.crew.submit(&whole(1, 30.0));
+    site.crew.run(20.0);
+    assert_eq!(site.placed(job), 1, "{}", site.moves());
+    assert_eq!(site.held().iter().sum::<usize>(), 8, "what moved runs on");
+    site.crew.run(2000.0);
+    assert_eq!(site.problems(), [""; 0]);
+    assert!(site.crew.over.contains(&guests));
+}
