--- a/crates/standins/examples/fragmentation.rs
+++ b/crates/standins/examples/fragmentation.rs
@@ -177,14 +177,16 @@
         waiting.retain(|&(id, since, tasks)| {
             let all = play.crew.places(id).len() == tasks || play.crew.over.contains(&id);
             if all {
-                waits.saturating_record(((now - since) * 1000.0) as u64);
+                waits.record(millis(now - since)).expect("it resizes");
                 started += 1;
             }
             !all
         });
     }
     for (_, since, _) in &waiting {
-        waits.saturating_record(((play.crew.now - since) * 1000.0) as u64);
+        waits
+            .record(millis(play.crew.now - since))
+            .expect("it resizes");
     }
     let problems = play.crew.history.problems([]);
     assert!(problems.is_empty(), "{problems:?}");
@@ -196,6 +198,10 @@
     }
 }
 
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1000.0) as u64
+}
+
 /// Plays every case with every seed, several at once.
 fn play_all(cases: &[Case]) -> Vec<Outcome> {
     let next = Mutex::new(cases.len());
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -217,7 +217,7 @@
 #[test]
 fn a_move_that_fails_partway_leaves_one_answer_and_no_claim() {
     type Fault = fn(&mut Scattered, &str, &str);
-    let faults: [(&str, Fault); 11] = [
+    let faults: [(&str, Fault); 12] = [
         ("the target dies", |s, _, to| s.crew.die(to)),
         ("the source dies", |s, from, _| s.crew.die(from)),
         ("the target hangs", |s, _, to| {
@@ -244,6 +244,10 @@
             s.crew.saving = Saving::Slow(30.0)
         }),
         ("the leader is killed", |s, _, _| s.crew.next_leader()),
+        ("all controllers are killed", |s, _, _| {
+            s.crew.sleep(6.0);
+            s.crew.next_leader();
+        }),
         ("the leader stands still", |s, _, _| {
             s.crew.sleep(20.0);
             s.crew.core.paused(20.0);
@@ -294,6 +298,32 @@
     }
 }
 
+/// The order to stop does not arrive, and the task completes meanwhile: that is its one
+/// answer, and the place that was held for it is free again.
+#[test]
+fn a_task_that_ends_by_itself_in_the_middle_is_done() {
+    let mut site = scattered(json!({"runtime_s": 64.0}), tuning());
+    let job = site.crew.submit(&whole(1, 20.0));
+    site.wait_for_move();
+    let moves = site.moves();
+    let from = moves["live"][0]["from"]
+        .as_str()
+        .expect("a name")
+        .to_string();
+    let task = moves["live"][0]["task"]
+        .as_str()
+        .expect("a task")
+        .to_string();
+    site.crew.silent.insert(from);
+    site.crew.run(8.0);
+    site.crew.silent.clear();
+    site.crew.run(120.0);
+    assert_eq!(site.problems(), [""; 0]);
+    assert!(site.crew.history.done().contains(task.as_str()));
+    assert!(site.crew.over.contains(&job));
+    assert_eq!(site.moves()["live"], json!([]));
+}
+
 /// A user cancels the moving job, or the one that the machine is freed for.
 #[test]
 fn a_cancellation_in_the_middle_ends_the_move() {
