--- a/src/coordination/relocation.rs
+++ b/src/coordination/relocation.rs
@@ -135,6 +135,9 @@
         }
         let view = self.view(Some(ix), &sure);
         let plan = defrag::free(&view.fleet, &want, &limits).map_err(|r| r.to_string())?;
+        if plan.moves.is_empty() {
+            return Err("room for it comes free by itself".into());
+        }
         tracing::info!(
             job = %id,
             machines = plan.frees.len(),
@@ -143,9 +146,6 @@
             cost = plan.cost,
             "whole machines are freed"
         );
-        if plan.moves.is_empty() {
-            return Err("room for it comes free by itself".into());
-        }
         let longest = plan
             .moves
             .iter()
@@ -589,7 +589,6 @@
                 .map(|(_, c)| c.phase)
         };
         if copy_at(&r.from, &|k| *k == r.key).is_some() {
-            // The claims of those who wait for the place last as long as it is on its way.
             return (self.now > r.until).then_some(STAYED);
         }
         if !r.left {
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -205,7 +205,7 @@
     /// Of jobs that wait for whole machines: how often moves for them came to nothing,
     /// and when they are next tried.
     pub(super) patience: BTreeMap<JobId, (u32, Time)>,
-    /// Why nothing is moved for them, and since when that has been so.
+    /// What is done for them, or why nothing is.
     pub(super) reasons: BTreeMap<JobId, String>,
 }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -10,6 +10,7 @@
 use copperfield::protocol::JobId;
 use copperfield::protocol::cloud::parse_types;
 use copperfield::protocol::job::{JobSpec, Phase, Standing};
+use copperfield::protocol::peer::Order;
 use copperfield::protocol::worker::{Report, orders_body};
 use copperfield::settings::Tuning;
 use serde_json::{Value, json};
@@ -419,3 +420,53 @@
     assert!(!p.text.contains("return"), "{}", p.text);
     assert!(p.core.hears_nobody());
 }
+
+#[test]
+fn a_drain_is_answered_once_stored_and_stops_what_is_left_at_its_deadline() {
+    let mut p = Play::new(Snapshot::default());
+    p.hello("vm-000001", 1, json!([]));
+    p.wait(0.3);
+    p.step("job wk-000001", vec![Input::Job(stored(1, 55, json!({})))]);
+    p.wait(0.3);
+    let a = started(&p.text);
+    let task = json!([{"shard": "wk-000001/0", "try": a, "phase": "running"}]);
+    let report = p.report("vm-000001", 1, TOKEN, task.clone());
+    let executed = DirectOutcome::Executed(report);
+    p.direct("vm-000001", 1, "executes the commands", executed);
+    p.note("an operator drains the machine: the answer comes after the record");
+    let order = Order::Drain {
+        node: "vm-000001".into(),
+        deadline_s: Some(3.0),
+        yes: false,
+    };
+    let input = Input::Operate {
+        ticket: 9,
+        order,
+        unix_ms: 1_000_000,
+    };
+    p.step("drain vm-000001, 3 s", vec![input]);
+    p.note("nothing new starts there");
+    let extra = json!({"cpus": 1.0});
+    p.step("job wk-000002", vec![Input::Job(stored(2, 56, extra))]);
+    p.wait(1.0);
+    p.hello("vm-000001", 1, task.clone());
+    p.note("what cannot move runs on until the deadline, and is then stopped");
+    p.wait(1.5);
+    p.hello("vm-000001", 1, task);
+    p.wait(1.5);
+    let stopped =
+        json!([{"shard": "wk-000001/0", "try": a, "phase": "ended", "exit_reason": "stopped"}]);
+    p.hello("vm-000001", 1, stopped);
+    p.note("taken back: the record goes first, then work comes again");
+    let order = Order::Undrain {
+        node: "vm-000001".into(),
+    };
+    let input = Input::Operate {
+        ticket: 10,
+        order,
+        unix_ms: 1_004_000,
+    };
+    p.step("undrain vm-000001", vec![input]);
+    p.wait(0.4);
+    p.keep("drain");
+}
