--- a/src/coordination/relocation.rs
+++ b/src/coordination/relocation.rs
@@ -296,8 +296,7 @@
                 zone: machine.zone,
                 kind: machine.kind,
                 spot: machine.spot,
-                // What is kept whole for the job takes nothing else in.
-                receives: usable && !own,
+                receives: usable,
                 frees: usable && unclaimed && (own || machine.kept_for.is_none()),
                 whole: kind.whole,
                 room: match want.filter(|_| unclaimed) {
@@ -471,11 +470,18 @@
     /// Claims all targets, where lower work gives way if need be, and then stops the tasks
     /// in order; or does nothing if a target turns out to have no room.
     fn begin(&mut self, view: &View, moves: &[defrag::Move], wanted_by: Option<JobId>) -> bool {
+        let wanted = wanted_by.and_then(|id| self.job_ids.get(&id));
+        let shape = wanted.and_then(|&ix| self.jobs[ix].shape);
         let mut stops = Vec::new();
         let mut held: Vec<(u32, u32)> = Vec::new();
         for mv in moves {
             let job = view.copies[mv.copy as usize].job;
             let to = view.machines[mv.to as usize];
+            // One of those kept whole for the job is given up for the others: on a site
+            // where all free room is kept, and no machine of it free, nothing else helps.
+            if shape.is_some() && self.machines[to].kept_for == shape {
+                self.machines[to].kept_for = None;
+            }
             let Some((_, victims)) = self.victims(job, to) else {
                 for (m, job) in held {
                     self.drop_hold(m, job);
