--- a/crates/standins/examples/fragmentation.rs
+++ b/crates/standins/examples/fragmentation.rs
@@ -305,7 +305,7 @@
         }
         chart
             .configure_series_labels()
-            .position(SeriesLabelPosition::LowerRight)
+            .position(SeriesLabelPosition::UpperLeft)
             .background_style(WHITE.mix(0.8))
             .draw()?;
     }
