--- a/crates/defrag/src/choose.rs
+++ b/crates/defrag/src/choose.rs
@@ -99,7 +99,7 @@
 /// A copy that may go: what that costs, and what it frees.
 type Item = (f64, u32, Amounts);
 
-/// What may go from a machine, cheapest first, and the room there is without that.
+/// What may go from a machine, and the room there is without that.
 fn items(
     fleet: &Fleet,
     index: &Index,
