--- a/crates/defrag/src/place.rs
+++ b/crates/defrag/src/place.rs
@@ -17,6 +17,9 @@
 /// a plan hardly ever needs one, come as they are.
 const BEST: usize = 64;
 
+/// What comes second counts so much less than what comes first.
+const TIE: f64 = 1e-5;
+
 /// Room and zones as a plan has spoken for them so far.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Spoken {
@@ -110,34 +113,33 @@
 
 fn list(fleet: &Fleet, w: u32) -> Rc<[u32]> {
     let work = &fleet.works[w as usize];
-    let mut all: Vec<(f64, f64, f64, u32)> = Vec::new();
+    let mut all: Vec<(f64, u32)> = Vec::new();
     for (m, machine) in (0u32..).zip(&fleet.machines) {
-        if !machine.receives || !work.suits(m, machine) {
+        if !machine.receives {
             continue;
         }
         let Some(stops) = fleet.stops(work, m) else {
             continue;
         };
+        if !work.suits(m, machine) {
+            continue;
+        }
+        let rent = machine.price * work.needs.share_of(&machine.whole);
+        // The fetch in money, as for a machine of this price.
+        let loses = stops + work.weight * rent * fleet.fetch_s(work, m);
         let mut after = machine.room;
         after.sub(&work.needs);
-        // The fetch in money, as for a machine of this price.
-        let rate = work.weight * machine.price * work.needs.share_of(&machine.whole);
-        let loses = stops + rate * fleet.fetch_s(work, m);
-        let rent = machine.price * work.needs.share_of(&machine.whole);
-        all.push((loses, rent, after.share_of(&machine.whole), m));
+        let slack = (after.cpus + 8 * after.gpus) as f64;
+        // One number for all three, as a plan sorts thousands of these.
+        all.push((loses + TIE * (rent + TIE * slack), m));
     }
-    let order = |a: &(f64, f64, f64, u32), b: &(f64, f64, f64, u32)| {
-        a.0.total_cmp(&b.0)
-            .then(a.1.total_cmp(&b.1))
-            .then(a.2.total_cmp(&b.2))
-            .then(a.3.cmp(&b.3))
-    };
+    let order = |a: &(f64, u32), b: &(f64, u32)| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1));
     if all.len() > BEST {
         all.select_nth_unstable_by(BEST, order);
     }
     let best = all.len().min(BEST);
     all[..best].sort_unstable_by(order);
-    all.into_iter().map(|t| t.3).collect()
+    all.into_iter().map(|t| t.1).collect()
 }
 
 /// The first of the machines that could take a copy, as things stand in this plan.
--- a/crates/defrag/src/plan.rs
+++ b/crates/defrag/src/plan.rs
@@ -18,7 +18,7 @@
 /// before a zone is given up.
 const IN_VAIN: usize = 12;
 /// Machines of a plan that are each tried to do without.
-const LOOK_AHEAD: usize = 3;
+const LOOK_AHEAD: usize = 2;
 
 /// One task that goes to another machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
