Tidy: one way to drop unsent starts, to name a node, to upload a job; one settled time

Found on reading the change again: the drain repeated the loop for silent machines, the answers to operators looked a node up in three places, two stand-ins built an uploaded job each, and two files kept the same 35 s.

--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -145,16 +145,7 @@
     /// A user uploads a job and submits it; asks again until it is accepted.
     pub async fn submit(&self, body: &Value, runtime_s: f64) {
         let id = body["uid"].as_str().expect("a job has an id").to_string();
-        let shards = body["shards"].as_u64().unwrap_or(1) as usize;
-        let job = Job {
-            body: body.clone(),
-            runtime_s,
-            accepted: None,
-            told_at: 0.0,
-            cancelled_at: None,
-            done: vec![false; shards],
-            told: None,
-        };
+        let job = Job::uploaded(body, runtime_s);
         self.world().site.jobs.insert(id.clone(), job);
         loop {
             for &node in &self.public {
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -30,6 +30,22 @@
     pub told_at: f64,
 }
 
+impl Job {
+    /// As its user has uploaded it; nobody has accepted it yet.
+    pub fn uploaded(body: &Value, runtime_s: f64) -> Self {
+        let tasks = body["shards"].as_u64().unwrap_or(1) as usize;
+        Self {
+            body: body.clone(),
+            runtime_s,
+            accepted: None,
+            cancelled_at: None,
+            done: vec![false; tasks],
+            told: None,
+            told_at: 0.0,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 enum State {
     Fetching {
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -486,6 +486,20 @@
         self.remove_copy(m, key);
     }
 
+    /// No start that has not left for a machine leaves for it any more.
+    pub(super) fn unqueue_all(&mut self, m: u32) {
+        let queued: Vec<CopyKey> = self.machines[m]
+            .copies
+            .iter()
+            .filter(|(_, c)| c.sent == Sent::Queued)
+            .map(|(k, _)| *k)
+            .collect();
+        for key in queued {
+            self.unqueue(m, key);
+            self.gang_lost_task(key);
+        }
+    }
+
     pub(super) fn free_if_over(&mut self, ix: u32) {
         let job = &self.jobs[ix];
         if !matches!(job.state, JobState::Over(_)) || job.entries > 0 {
--- a/src/coordination/drains.rs
+++ b/src/coordination/drains.rs
@@ -103,17 +103,7 @@
         drain.waiters.push(ticket);
         drain.due |= !same;
         self.machines[m].draining = true;
-        let keys: Vec<CopyKey> = self.machines[m].copies.keys().copied().collect();
-        for key in keys {
-            if self.machines[m]
-                .copies
-                .get(&key)
-                .is_some_and(|c| c.sent == Sent::Queued)
-            {
-                self.unqueue(m, key);
-                self.gang_lost_task(key);
-            }
-        }
+        self.unqueue_all(m);
         if same {
             let name = self.machines[m].name.clone();
             self.answer_waiters(&name);
@@ -127,9 +117,8 @@
             drain.until = None;
             drain.due = true;
             drain.waiters.push(ticket);
-        } else if let Some(&m) = self.machine_ids.get(node) {
-            let node = self.node(m);
-            self.answer(ticket, 200, &node);
+        } else if self.machine_ids.contains_key(node) {
+            self.answer_node(ticket, node);
         } else {
             self.no_such_node(ticket, node);
         }
@@ -208,13 +197,18 @@
     }
 
     fn answer_node(&mut self, ticket: u64, node: &str) {
-        let node = match self.machine_ids.get(node) {
-            Some(&m) => self.node(m),
-            None => lost(node),
-        };
+        let node = self.node_named(node);
         self.answer(ticket, 200, &node);
     }
 
+    /// Also of a node that drains and that this leader has not heard of.
+    fn node_named(&self, name: &str) -> views::Node {
+        match self.machine_ids.get(name) {
+            Some(&m) => self.node(m),
+            None => lost(name),
+        }
+    }
+
     /// Once a second: moves work off draining nodes, and stops what is left at the deadline.
     pub(super) fn tend_drains(&mut self) {
         let draining: Vec<(u32, Option<Time>)> = self
@@ -260,12 +254,8 @@
         names.sort_unstable();
         let more = names.len() > PAGE;
         names.truncate(PAGE);
-        let node = |name: &str| match self.machine_ids.get(name) {
-            Some(&m) => self.node(m),
-            None => lost(name),
-        };
         views::Nodes {
-            nodes: names.into_iter().map(node).collect(),
+            nodes: names.into_iter().map(|n| self.node_named(n)).collect(),
             more,
         }
     }
--- a/src/coordination/moves.rs
+++ b/src/coordination/moves.rs
@@ -8,10 +8,8 @@
 //! long as its image takes.
 
 use super::model::*;
-use super::state::Core;
+use super::state::{Core, SETTLED_S};
 
-/// A start counts as one only if the task is left alone for half a minute.
-const SETTLED_S: f64 = 35.0;
 /// The share of all replicas that may be away for a move, and how many on a small
 /// site. Eighty moves in half a minute once cost more replica time than losing the
 /// leader did; moving only to where the image is left gangs without machines.
--- a/src/coordination/relocation.rs
+++ b/src/coordination/relocation.rs
@@ -18,14 +18,12 @@
 
 use super::gangs::grace_to_save;
 use super::model::*;
-use super::state::{Core, Relocation};
+use super::state::{Core, Relocation, SETTLED_S};
 
 /// What ends by itself within so many seconds is not moved.
 const SOON_S: f64 = 5.0;
 /// How long a move takes beside saving and fetching.
 const MOVE_S: f64 = 1.0;
-/// A start counts as one only if the task is left alone for half a minute.
-const SETTLED_S: f64 = 35.0;
 /// From an order to the proof that it was carried out, beside the time to save: a
 /// report, and a message that is sent again.
 const PROOF_S: f64 = 4.0;
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -553,16 +553,7 @@
                 continue;
             }
             if silent {
-                let queued: Vec<CopyKey> = machine
-                    .copies
-                    .iter()
-                    .filter(|(_, c)| c.sent == Sent::Queued)
-                    .map(|(k, _)| *k)
-                    .collect();
-                for key in queued {
-                    self.unqueue(m, key);
-                    self.gang_lost_task(key);
-                }
+                self.unqueue_all(m);
                 continue;
             }
             let teach = !machine.synced && machine.next_probe <= self.now;
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -14,6 +14,9 @@
 /// The batch window of the design.
 pub const WINDOW_S: f64 = 0.2;
 
+/// A start counts as one only if the task is left alone for half a minute.
+pub(super) const SETTLED_S: f64 = 35.0;
+
 /// Room in a stored page for one machine with its images.
 const BYTES_PER_MACHINE: usize = 512;
 const MOST_PER_PAGE: usize = 32;
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -430,16 +430,7 @@
     cancel_after: Option<f64>,
 ) {
     sleep(Duration::from_secs_f64(submit_at)).await;
-    let tasks = body["shards"].as_u64().unwrap() as usize;
-    let job = Job {
-        body: body.clone(),
-        runtime_s,
-        accepted: None,
-        told_at: 0.0,
-        cancelled_at: None,
-        done: vec![false; tasks],
-        told: None,
-    };
+    let job = Job::uploaded(&body, runtime_s);
     world.lock().unwrap().site.jobs.insert(id.clone(), job);
     loop {
         if let Some((status, _)) =
