--- /dev/null
+++ b/crates/standins/src/loopback.rs
@@ -0,0 +1,370 @@
+//! The stand-ins as real servers on loopback: a state service, a cloud, and workers that
+//! report and run tasks, beside settings for real controllers. `examples/site.rs` serves
+//! them for people, `tests/whole_nodes.rs` for proofs.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use copperfield::transport::client::{Answer, Http, Network};
+use copperfield::transport::server::{Incoming, Outgoing, serve};
+use hyper::Method;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::site::{CANCEL_S, Job, LEASE_S, REPORT_S, Site};
+use crate::state::StateService;
+
+pub const NODES: usize = 3;
+/// Connections that each server takes.
+const MOST: usize = 1000;
+/// The machines live in steps of so many seconds.
+const STEP_S: f64 = 0.1;
+
+pub struct World {
+    pub site: Site,
+    pub state: StateService,
+    start: Instant,
+    /// Where each worker is served.
+    workers: BTreeMap<String, SocketAddr>,
+    /// Which node last answered a worker as leader.
+    pub leader: usize,
+    /// Jobs that nobody uploaded run for so long; `None`: they are unknown.
+    pub anything_runs_s: Option<f64>,
+}
+
+#[derive(Clone)]
+pub struct Loopback {
+    world: Arc<Mutex<World>>,
+    pub state: SocketAddr,
+    pub cloud: SocketAddr,
+    pub public: Vec<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    http: Arc<Http>,
+}
+
+/// An address that nobody listens on now.
+///
+/// # Panics
+/// If the machine has no free port.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+/// The same, below a fixed port, for people who type it.
+pub fn fixed_address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+impl Loopback {
+    /// Servers on addresses chosen by `address`, given what for.
+    pub fn new(site: Site, mut address: impl FnMut(&str, usize) -> SocketAddr) -> Self {
+        let mut all = |what: &str| (0..NODES).map(|i| address(what, i)).collect::<Vec<_>>();
+        let (public, peers) = (all("public"), all("peers"));
+        let world = World {
+            site,
+            state: StateService::default(),
+            start: Instant::now(),
+            workers: BTreeMap::new(),
+            leader: 0,
+            anything_runs_s: None,
+        };
+        Self {
+            world: Arc::new(Mutex::new(world)),
+            state: address("state", 0),
+            cloud: address("cloud", 0),
+            public,
+            peers,
+            http: Arc::new(Http::default()),
+        }
+    }
+
+    /// # Panics
+    /// If a server panicked.
+    pub fn world(&self) -> MutexGuard<'_, World> {
+        self.world.lock().expect("no server panics")
+    }
+
+    /// Serves until an address turns out to be taken.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn run(&self) -> std::io::Result<()> {
+        let (for_state, for_cloud) = (self.clone(), self.clone());
+        tokio::select! {
+            result = serve(self.state, MOST, move |r| for_state.clone().answer_state(r)) => result,
+            result = serve(self.cloud, MOST, move |r| for_cloud.clone().answer_cloud(r)) => result,
+            () = self.live() => Ok(()),
+        }
+    }
+
+    /// What each controller is started with.
+    pub fn settings(&self, node: usize) -> Value {
+        let others: Vec<Value> = (0..NODES)
+            .filter(|&i| i != node)
+            .map(
+                |i| json!({"member": format!("host-{i}"), "site": "a", "peer_addr": self.peers[i]}),
+            )
+            .collect();
+        json!({"member": format!("host-{node}"), "site": "a", "public_addr": self.public[node],
+            "peer_bind": self.peers[node], "others": others,
+            "external": {"cloud": self.cloud, "state": self.state},
+            "cluster": {"count": NODES, "zones": ["a", "b"], "teams": [{"name": "team"}], "objectives": [],
+                "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": 20.0, "gang_peer_s": 2.0, "cancel_s": CANCEL_S},
+                "state": {"rps": 400, "write_rps": 100, "value_kb": 8, "txn_ops": 12},
+                "cloud": {"rps": 10, "list_lag_s": 1}, "limits": {"max_sockets": 1000}, "clock_error_ms": 25}})
+    }
+
+    /// Writes the settings of all controllers to a folder, with the operators' own beside
+    /// them, and returns where.
+    ///
+    /// # Errors
+    /// The folder cannot be written.
+    pub fn write_settings(
+        &self,
+        folder: &Path,
+        hcl: Option<&str>,
+    ) -> std::io::Result<Vec<PathBuf>> {
+        std::fs::create_dir_all(folder)?;
+        let mut paths = Vec::new();
+        for node in 0..NODES {
+            let path = folder.join(format!("host-{node}.json"));
+            let text = serde_json::to_string_pretty(&self.settings(node)).expect("plain data");
+            std::fs::write(&path, text)?;
+            if let Some(hcl) = hcl {
+                std::fs::write(path.with_extension("hcl"), hcl)?;
+            }
+            paths.push(path);
+        }
+        Ok(paths)
+    }
+
+    /// A user uploads a job and submits it; asks again until it is accepted.
+    pub async fn submit(&self, body: &Value, runtime_s: f64) {
+        let id = body["uid"].as_str().expect("a job has an id").to_string();
+        let shards = body["shards"].as_u64().unwrap_or(1) as usize;
+        let job = Job {
+            body: body.clone(),
+            runtime_s,
+            accepted: None,
+            told_at: 0.0,
+            cancelled_at: None,
+            done: vec![false; shards],
+            told: None,
+        };
+        self.world().site.jobs.insert(id.clone(), job);
+        loop {
+            for &node in &self.public {
+                if let Some(answer) = self.ask(Method::POST, node, "/work", body).await
+                    && matches!(answer.status, 200 | 201)
+                {
+                    let mut w = self.world();
+                    let now = w.site.now;
+                    w.site.jobs.get_mut(&id).expect("inserted").accepted = Some(now);
+                    return;
+                }
+            }
+            sleep(Duration::from_millis(300)).await;
+        }
+    }
+
+    /// What a user is told of a job, by any controller; checked as the rules have it.
+    pub async fn poll(&self, id: &str) -> Option<Value> {
+        for &node in &self.public {
+            let asked_at = self.world().site.now;
+            let path = format!("/work/{id}");
+            let Some(answer) = self.ask(Method::GET, node, &path, &Value::Null).await else {
+                continue;
+            };
+            let value: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+            let mut w = self.world();
+            w.site
+                .user_told(id, asked_at, answer.status, value["phase"].as_str());
+            if answer.status == 200 {
+                return Some(value);
+            }
+        }
+        None
+    }
+
+    async fn ask(
+        &self,
+        method: Method,
+        to: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Option<Answer> {
+        let body = match body {
+            Value::Null => Vec::new(),
+            body => body.to_string().into_bytes(),
+        };
+        let asked = self
+            .http
+            .call(method, to, path, body, Duration::from_secs(3));
+        asked.await.ok()
+    }
+
+    async fn answer_state(self, request: Incoming) -> Outgoing {
+        let path = full_path(&request);
+        if request.path == "/watch" {
+            for _ in 0..200 {
+                let changes = self.world().state.changes(&path);
+                if let Some(changes) = changes {
+                    return reply(changes);
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+            return reply(self.world().state.now_empty());
+        }
+        let mut w = self.world();
+        let now = w.start.elapsed().as_secs_f64();
+        reply(
+            w.state
+                .handle(now, request.method.as_str(), &path, &request.body),
+        )
+    }
+
+    async fn answer_cloud(self, request: Incoming) -> Outgoing {
+        let path = full_path(&request);
+        let mut w = self.world();
+        reply(w.site.cloud(request.method.as_str(), &path, &request.body))
+    }
+
+    async fn answer_worker(self, name: String, request: Incoming) -> Outgoing {
+        let mut w = self.world();
+        if !w.site.machines.contains_key(&name) {
+            return Outgoing::error(503, "gone");
+        }
+        let mut status = 200;
+        if request.path == "/orders" {
+            let orders: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+            w.learn_jobs(&orders["orders"]);
+            let same = orders["tenure"].as_u64() == Some(w.site.machines[&name].tenure);
+            if same && w.site.obey(&name, orders["fence"].as_u64()) {
+                w.site.execute(&name, &orders["orders"]);
+            } else {
+                status = 409;
+            }
+        }
+        reply((status, w.report(&name)))
+    }
+
+    /// The machines' own lives: they run tasks and report to whoever leads.
+    async fn live(&self) {
+        let mut due: BTreeMap<String, (f64, usize)> = BTreeMap::new();
+        loop {
+            sleep(Duration::from_secs_f64(STEP_S)).await;
+            let reports = self.step(&mut due);
+            for (name, node, body, sent) in reports {
+                let answer = self
+                    .ask(Method::POST, self.public[node], "/hello", &body)
+                    .await;
+                let next = self.answered(&name, node, sent, answer);
+                due.get_mut(&name).expect("reported").1 = next;
+            }
+        }
+    }
+
+    fn step(&self, due: &mut BTreeMap<String, (f64, usize)>) -> Vec<(String, usize, Value, f64)> {
+        let mut w = self.world();
+        let now = w.start.elapsed().as_secs_f64();
+        let passed = now - w.site.now;
+        w.site.now = now;
+        w.state.tick(now, passed);
+        let machines = w.site.machines.values();
+        let up: Vec<String> = machines
+            .filter(|m| m.up_at <= now && !m.hung)
+            .map(|m| m.name.clone())
+            .collect();
+        let mut reports = Vec::new();
+        for name in up {
+            w.site.live(&name, passed);
+            if !due.contains_key(&name) {
+                println!("machine {name} is up");
+                due.insert(name.clone(), (now, 0));
+                let address = free_address();
+                w.workers.insert(name.clone(), address);
+                let (this, served) = (self.clone(), name.clone());
+                tokio::spawn(serve(address, MOST, move |request| {
+                    this.clone().answer_worker(served.clone(), request)
+                }));
+            }
+            let (at, node) = due.get_mut(&name).expect("inserted");
+            let changed = w.site.machines[&name].changed;
+            if now >= *at || (changed && now > *at - REPORT_S + 0.5) {
+                *at = now + REPORT_S;
+                let node = *node;
+                reports.push((name.clone(), node, w.report(&name), now));
+            }
+        }
+        w.site.gangs();
+        w.site.check_cancelled();
+        reports
+    }
+
+    /// To which node a worker reports next.
+    fn answered(&self, name: &str, node: usize, sent: f64, answer: Option<Answer>) -> usize {
+        let other = (node + 1) % NODES;
+        let Some(answer) = answer else { return other };
+        let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        if answer.status == 200 {
+            let mut w = self.world();
+            w.leader = node;
+            w.learn_jobs(&value["orders"]);
+            if w.site.machines.contains_key(name) && w.site.obey(name, value["fence"].as_u64()) {
+                w.site.answered(name, sent);
+                w.site.execute(name, &value["orders"]);
+            }
+            return node;
+        }
+        let named = value["controller"].as_str();
+        named
+            .and_then(|c| c.strip_prefix("host-")?.parse().ok())
+            .unwrap_or(other)
+    }
+}
+
+impl World {
+    fn report(&mut self, name: &str) -> Value {
+        let mut report = self.site.machines.get_mut(name).expect("known").report();
+        if let Some(address) = self.workers.get(name) {
+            report["address"] = json!(address.to_string());
+        }
+        report
+    }
+
+    /// Where users upload nothing, any job runs, and for the same time.
+    fn learn_jobs(&mut self, orders: &Value) {
+        let Some(runtime_s) = self.anything_runs_s else {
+            return;
+        };
+        for order in orders.as_array().into_iter().flatten() {
+            let Some((job, _)) = order["shard"].as_str().and_then(|s| s.split_once('/')) else {
+                continue;
+            };
+            self.site.jobs.entry(job.to_string()).or_insert_with(|| Job {
+                body: json!({"shape": "sweep", "cpus": 1.0, "bundle": job, "pull_gb": 0.1, "preemptibles": true, "shards": 100_000}),
+                runtime_s,
+                accepted: Some(0.0),
+                told_at: 0.0,
+                cancelled_at: None,
+                done: vec![false; 100_000],
+                told: None,
+            });
+        }
+    }
+}
+
+fn reply((status, value): (u16, Value)) -> Outgoing {
+    Outgoing::json(status, &value)
+}
+
+fn full_path(request: &Incoming) -> String {
+    match &request.query {
+        Some(query) => format!("{}?{query}", request.path),
+        None => request.path.clone(),
+    }
+}
--- /dev/null
+++ b/tests/whole_nodes.rs
@@ -0,0 +1,338 @@
+//! The proof: three controllers and stand-in nodes as real processes on loopback. Eight
+//! GPUs are free, two on each of four nodes; a job that wants four on one node runs within
+//! two minutes, and a checker over the whole history finds every task ended exactly once.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use copperfield_operators::client::{Client, ClientError};
+use copperfield_operators::views::{DrainOrder, NodeState};
+use copperfield_standins::history::What;
+use copperfield_standins::loopback::{Loopback, NODES, free_address};
+use copperfield_standins::site::Site;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+const TYPES: &str = r#"{"flavors":[{"name":"gpu4","cpus":16,"gpus":4,"memory_gb":64,"local_gb":90,
+ "pull_gb_per_s":2,"price":4.0,"ready_s":5,"regions":["a","b"]}]}"#;
+const KEY: &str = "the key of this proof";
+const HCL: &str = r#"
+fleet_max = 4
+idle_return_s = 3600
+deserted_return_s = 3600
+defragmentation {
+  enabled = true
+}
+operators {
+  key = "the-key-of-this-proof"
+}
+"#;
+
+struct Proof {
+    site: Loopback,
+    settings: Vec<PathBuf>,
+    controllers: Vec<Child>,
+    client: Client,
+    /// Tasks that must end once.
+    tasks: Vec<String>,
+}
+
+impl Drop for Proof {
+    fn drop(&mut self) {
+        for child in &mut self.controllers {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn controller(settings: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_copperfield"))
+        .arg("--config")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("starts")
+}
+
+fn job(id: u64, extra: Value) -> Value {
+    let mut body = json!({"uid": format!("wk-{id:06}"), "jobclass": "c", "owner": "team", "shape": "sweep",
+        "rank": "normal", "shards": 1, "cpus": 3.0, "gpus": 1.0, "memory_gb": 4.0, "bundle": "img",
+        "pull_gb": 0.0, "preemptibles": true, "runtime_s": 300.0, "snapshot_every_s": 10.0, "snapshot_s": 0.5});
+    for (k, v) in extra.as_object().expect("an object") {
+        body[k] = v.clone();
+    }
+    body
+}
+
+impl Proof {
+    async fn start(name: &str) -> Self {
+        let mut site = Site::default();
+        site.types = serde_json::from_str(TYPES).expect("our own");
+        site.capacity = 4;
+        for zone in ["a", "a", "b", "b"] {
+            site.add_machine("gpu4", zone, false, 0.0);
+        }
+        let site = Loopback::new(site, |_, _| free_address());
+        let served = site.clone();
+        tokio::spawn(async move { served.run().await.expect("free addresses") });
+        let folder =
+            std::env::temp_dir().join(format!("copperfield-{}-{name}", std::process::id()));
+        let settings = site.write_settings(&folder, Some(HCL)).expect("writable");
+        let controllers = settings.iter().map(controller).collect();
+        let client = Client::new(site.public.clone(), KEY.replace(' ', "-"));
+        Self {
+            site,
+            settings,
+            controllers,
+            client,
+            tasks: Vec::new(),
+        }
+    }
+
+    async fn submit(&mut self, body: Value, runtime_s: f64) -> String {
+        let id = body["uid"].as_str().expect("an id").to_string();
+        for task in 0..body["shards"].as_u64().unwrap_or(1) {
+            if body["shape"] != "service" {
+                self.tasks.push(format!("{id}/{task}"));
+            }
+        }
+        self.site.submit(&body, runtime_s).await;
+        id
+    }
+
+    /// Two tasks that stay and two that end on every node, filled one after another.
+    async fn fragment(&mut self, stay_s: f64) {
+        self.all_ready().await;
+        let mut id = 10;
+        for zone in ["a", "b"] {
+            for _ in 0..2 {
+                for _ in 0..2 {
+                    let stays = job(id, json!({"region": zone, "runtime_s": stay_s}));
+                    self.submit(stays, stay_s).await;
+                    let ends = job(id + 100, json!({"region": zone, "runtime_s": 10.0}));
+                    self.submit(ends, 10.0).await;
+                    id += 1;
+                }
+                let all = 2 * (id as usize - 10);
+                let filled = |p: &Self| p.used().iter().sum::<usize>() == all;
+                self.until("the node is full", 20.0, filled).await;
+            }
+        }
+        self.until("eight GPUs are free, two on each node", 40.0, |p| {
+            p.used() == [2, 2, 2, 2]
+        })
+        .await;
+    }
+
+    async fn all_ready(&self) {
+        for _ in 0..300 {
+            let nodes = self.client.nodes().await.unwrap_or_default();
+            let ready = nodes.iter().filter(|n| n.state == NodeState::Ready);
+            if ready.count() == 4 {
+                return;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        panic!("the nodes never came up");
+    }
+
+    /// GPUs in use on each node.
+    fn used(&self) -> Vec<usize> {
+        let w = self.site.world();
+        let history = &w.site.history;
+        let mut on = std::collections::BTreeMap::<&str, i64>::new();
+        for e in history
+            .events()
+            .iter()
+            .filter(|e| !e.task.starts_with("wk-0009"))
+        {
+            *on.entry(&e.machine).or_default() += if e.what == What::Starts { 1 } else { -1 };
+        }
+        w.site
+            .machines
+            .keys()
+            .map(|m| on.get(m.as_str()).map_or(0, |&n| n as usize))
+            .collect()
+    }
+
+    async fn until(&mut self, what: &str, seconds: f64, test: impl Fn(&Self) -> bool) -> f64 {
+        let began = Instant::now();
+        while !test(self) {
+            let waited = began.elapsed().as_secs_f64();
+            assert!(
+                waited < seconds,
+                "not within {seconds} s: {what}; in use {:?}",
+                self.used()
+            );
+            sleep(Duration::from_millis(50)).await;
+        }
+        began.elapsed().as_secs_f64()
+    }
+
+    fn started(&self, task: &str) -> bool {
+        !self.site.world().site.history.places(task).is_empty()
+    }
+
+    /// All jobs end, and everything that happened is looked at.
+    async fn finish(mut self) {
+        let tasks = self.tasks.clone();
+        let all_done = |p: &Self| {
+            let w = p.site.world();
+            let done = w.site.history.done();
+            tasks.iter().all(|t| done.contains(t.as_str()))
+        };
+        self.until("every task ends", 120.0, all_done).await;
+        let jobs: Vec<String> = tasks
+            .iter()
+            .filter_map(|t| Some(t.split_once('/')?.0.into()))
+            .collect();
+        for id in jobs {
+            let began = Instant::now();
+            loop {
+                let told = self.site.poll(&id).await;
+                let shards = self.site.world().site.jobs[&id].done.len();
+                if told
+                    .as_ref()
+                    .is_some_and(|t| t["phase"] == "done" && t["done"] == shards)
+                {
+                    break;
+                }
+                assert!(began.elapsed().as_secs() < 15, "{id}: {told:?}");
+                sleep(Duration::from_millis(200)).await;
+            }
+        }
+        let w = self.site.world();
+        let problems = w
+            .site
+            .history
+            .problems(self.tasks.iter().map(String::as_str));
+        assert_eq!(problems, [""; 0]);
+        assert_eq!(w.site.broken, [""; 0]);
+    }
+}
+
+fn whole() -> Value {
+    job(
+        900,
+        json!({"shape": "group", "cpus": 8.0, "gpus": 4.0, "runtime_s": 6.0}),
+    )
+}
+
+#[tokio::test]
+async fn a_four_gpu_job_runs_on_a_fragmented_site() {
+    let mut proof = Proof::start("plain").await;
+    proof.fragment(45.0).await;
+    let job = proof.submit(whole(), 6.0).await + "/0";
+    let took = proof
+        .until("the four-GPU job runs", 30.0, |p| p.started(&job))
+        .await;
+    println!("whole node after {took:.1} s");
+    proof.finish().await;
+}
+
+#[tokio::test]
+async fn the_same_with_a_node_that_drains_meanwhile() {
+    let mut proof = Proof::start("drain").await;
+    proof.fragment(45.0).await;
+    let job = proof.submit(whole(), 6.0).await + "/0";
+    let node = proof.client.nodes().await.expect("a leader")[3]
+        .name
+        .clone();
+    let drained = proof
+        .client
+        .drain(&node, &DrainOrder::default())
+        .await
+        .expect("stored");
+    assert!(matches!(
+        drained.state,
+        NodeState::Draining | NodeState::Drained
+    ));
+    let took = proof
+        .until("the four-GPU job runs", 60.0, |p| p.started(&job))
+        .await;
+    println!("whole node after {took:.1} s, beside a drain");
+    let off = |p: &Proof| p.used()[3] == 0;
+    proof.until("the node is empty", 60.0, off).await;
+    proof.client.undrain(&node).await.expect("stored");
+    proof.finish().await;
+}
+
+#[tokio::test]
+async fn the_same_with_the_leader_killed_between_stop_and_start() {
+    let mut proof = Proof::start("killed").await;
+    proof.fragment(45.0).await;
+    let before = proof.site.world().site.history.events().len();
+    let job = proof.submit(whole(), 6.0).await + "/0";
+    let stopped = |p: &Proof| {
+        let w = p.site.world();
+        w.site.history.events()[before..]
+            .iter()
+            .any(|e| e.what == What::Leaves)
+    };
+    proof.until("a task leaves", 30.0, stopped).await;
+    let leader = proof.site.world().leader;
+    proof.controllers[leader].kill().expect("kills");
+    proof.controllers[leader].wait().expect("ends");
+    let took = proof
+        .until("the four-GPU job runs", 60.0, |p| p.started(&job))
+        .await;
+    println!("whole node after {took:.1} s, with the leader killed");
+    proof.controllers[leader] = controller(&proof.settings[leader]);
+    proof.finish().await;
+}
+
+/// Replicas of the porting service sit on two of the nodes and are never touched; a drain
+/// that would disturb them must be confirmed, and nobody without the key can order one.
+#[tokio::test]
+async fn the_same_beside_a_service_that_is_never_touched() {
+    let mut proof = Proof::start("service").await;
+    let replicas = json!({"shape": "service", "rank": "production", "shards": 2, "gpus": 0.0, "cpus": 2.0,
+        "spread": true, "runtime_s": 0.0, "jobclass": "porting", "movable": true});
+    proof.submit(job(990, replicas), f64::INFINITY).await;
+    proof
+        .until("the replicas run", 30.0, |p| {
+            p.started("wk-000990/0") && p.started("wk-000990/1")
+        })
+        .await;
+    proof.fragment(45.0).await;
+    let job = proof.submit(whole(), 6.0).await + "/0";
+    let took = proof
+        .until("the four-GPU job runs", 60.0, |p| p.started(&job))
+        .await;
+    println!("whole node after {took:.1} s, beside a service");
+    let nodes = proof.client.nodes().await.expect("a leader");
+    let served = nodes
+        .iter()
+        .find(|n| n.protected > 0)
+        .expect("a replica")
+        .name
+        .clone();
+    let refused = proof.client.drain(&served, &DrainOrder::default()).await;
+    assert!(
+        matches!(refused, Err(ClientError::Confirm(_))),
+        "{refused:?}"
+    );
+    let stranger = Client::new(proof.site.public.clone(), "another key, a wrong one".into());
+    assert!(matches!(
+        stranger.nodes().await,
+        Err(ClientError::Unauthorized)
+    ));
+    let none: Vec<SocketAddr> = vec![free_address()];
+    let nobody = Client::new(none, String::new()).moves().await;
+    assert!(matches!(nobody, Err(ClientError::Unreachable(_))));
+    assert_eq!(NODES, proof.controllers.len());
+    let w = proof.site.world();
+    let moved = w
+        .site
+        .history
+        .events()
+        .iter()
+        .filter(|e| e.task.starts_with("wk-000990/"));
+    assert_eq!(moved.count(), 2, "each replica started, and nothing else");
+    drop(w);
+    proof.finish().await;
+}
