Silent machines on a durable record: a new leader knows when their leases ran out

Cause: a new leader counted the lease of every machine that it had not heard from its own election.

Change: crates/silence, the record of silent machines: what it names was last answered at that time of day and is not answered again before its removal is acknowledged; answers on the word of all nodes in an outage are remembered by those who gave it. Written in the leader's transactions, read at recovery; stamps by the platform's bound on clocks.

--- /dev/null
+++ b/crates/silence/src/lib.rs
@@ -0,0 +1,6 @@
+#![doc = include_str!("../README.md")]
+
+mod record;
+pub mod stamp;
+
+pub use record::{PageWrite, Silence, StoredPage};
--- a/crates/standins/src/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -8,7 +8,9 @@
 use std::time::Instant;
 
 use copperfield::bookkeeping::writer::{Write, Written};
-use copperfield::bookkeeping::{DrainRecord, RosterPage, Snapshot, StoredDrain, StoredJob, bitmap};
+use copperfield::bookkeeping::{
+    DrainRecord, RosterPage, Snapshot, StoredDrain, StoredJob, StoredSilence, bitmap,
+};
 use copperfield::coordination::core::{
     CancelBegin, Config, Core, DirectOutcome, Effect, Input, RentOutcome,
 };
@@ -18,6 +20,7 @@
 use copperfield_protocol::peer::Order;
 use copperfield_protocol::worker::{Command, Exit, Report, TaskPhase, TaskReport, Verb};
 use copperfield_protocol::{JobId, parse_task};
+use copperfield_silence::stamp;
 use serde_json::{Value, json};
 
 use crate::history::{History, What};
@@ -77,6 +80,10 @@
     pub roster: BTreeMap<u32, Value>,
     /// Drains as they are stored.
     pub drains: BTreeMap<String, DrainRecord>,
+    /// The record of silent machines, as times of day.
+    pub silence: BTreeMap<u32, Vec<(String, u64)>>,
+    /// What the next leader has given its word for.
+    pub word_given_until: f64,
     pub saving: Saving,
     /// Machines that are gone for good.
     pub dead: BTreeSet<String>,
@@ -154,6 +161,8 @@
             largest_value: 0,
             roster: BTreeMap::new(),
             drains: BTreeMap::new(),
+            silence: BTreeMap::new(),
+            word_given_until: 0.0,
             saving: Saving::InTime,
             dead: BTreeSet::new(),
             history: History::default(),
@@ -289,11 +298,20 @@
             left_s: record.until_ms.map(|at| at as f64 / 1000.0 - self.now),
             version: self.revision,
         });
+        let now_ms = (self.now * 1000.0) as u64;
+        let age = |(name, at): &(String, u64)| (name.clone(), stamp::age(*at, now_ms, 0));
+        let silence = self.silence.iter().map(|(&page, stored)| StoredSilence {
+            page,
+            version: self.revision,
+            ages: Some(stored.iter().map(age).collect()),
+        });
         let snapshot = Snapshot {
             jobs,
             progress: progress.collect(),
             roster: self.stored_roster(),
             drains: drains.collect(),
+            silence: silence.collect(),
+            word_given_until: self.word_given_until,
         };
         let config = Config {
             cluster: self.cluster.clone(),
@@ -658,6 +676,11 @@
                 Write::Finish { job, .. } => {
                     self.over.insert(*job);
                 }
+                Write::Silence { page, ages, .. } => {
+                    let now_ms = (self.now * 1000.0) as u64;
+                    let at = |(n, age): &(String, u64)| (n.clone(), stamp::of_age(*age, now_ms));
+                    self.silence.insert(*page, ages.iter().map(at).collect());
+                }
                 Write::Drain { node, record, .. } => {
                     match record {
                         Some(record) => self.drains.insert(node.clone(), *record),
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -8,6 +8,7 @@
 //! | `cf/t/{job}` | a job's final phase, kept for ever | the leader, or anyone while there is none |
 //! | `cf/p/{job}/{chunk}` | which tasks are done, as a hexadecimal bitmap | the leader |
 //! | `cf/d/{node}` | a drain that an operator has ordered | the leader |
+//! | `cf/s/{page}` | silent machines, and when each was last answered | the leader |
 //! | `cf/r/{page}` | the roster: machines that may have been given tasks | the leader |
 //!
 //! A job's end moves it from `cf/j/` to `cf/t/` in one transaction. A reader
@@ -33,6 +34,7 @@
 pub const PROGRESS: &str = "cf/p/";
 pub const ROSTER: &str = "cf/r/";
 pub const DRAINS: &str = "cf/d/";
+pub const SILENCE: &str = "cf/s/";
 
 pub fn job_key(job: JobId) -> String {
     format!("{JOBS}{job}")
@@ -50,6 +52,10 @@
     format!("{ROSTER}{page:05}")
 }
 
+pub fn silence_key(page: u32) -> String {
+    format!("{SILENCE}{page:05}")
+}
+
 pub fn drain_key(node: &str) -> String {
     format!("{DRAINS}{node}")
 }
@@ -124,6 +130,10 @@
     pub progress: Vec<(JobId, u32, Vec<u8>, u64)>,
     pub roster: Vec<RosterPage>,
     pub drains: Vec<StoredDrain>,
+    pub silence: Vec<StoredSilence>,
+    /// Until when an earlier leader may have answered on this node's word, on the clock of
+    /// the core.
+    pub word_given_until: f64,
 }
 
 impl Snapshot {
@@ -136,6 +146,15 @@
     }
 }
 
+/// One stored page of the record of silent machines.
+#[derive(Debug)]
+pub struct StoredSilence {
+    pub page: u32,
+    pub version: u64,
+    /// How long ago each was last answered at least, in ms; `None` if it does not parse.
+    pub ages: Option<Vec<(String, u64)>>,
+}
+
 /// One stored page of the roster.
 #[derive(Debug)]
 pub struct RosterPage {
--- a/src/bookkeeping/recovery.rs
+++ b/src/bookkeeping/recovery.rs
@@ -4,15 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::store::{Store, StoreError};
+use copperfield_silence::stamp;
+
+use super::store::StoreError;
 use super::{
-    DRAINS, DrainRecord, JOBS, MachineRecord, PROGRESS, ROSTER, RosterPage, Snapshot, StoredDrain,
-    StoredJob, bitmap, parse_job_record,
+    DRAINS, DrainRecord, JOBS, MachineRecord, PROGRESS, ROSTER, RosterPage, SILENCE, Snapshot,
+    StoredDrain, StoredJob, StoredSilence, bitmap, parse_job_record,
 };
 use crate::commands::{Command, Handle};
 use crate::coordination::core::Input;
 use crate::protocol::JobId;
-use crate::shared::{Shared, unix_ms};
+use crate::shared::Shared;
 
 /// Reads what earlier leaders have stored, then follows new jobs.
 pub async fn recover(shared: Arc<Shared>, handle: Handle, token: u64) {
@@ -20,7 +22,7 @@
         if !shared.leads(token) {
             return;
         }
-        match read_snapshot(&shared.store).await {
+        match read_snapshot(&shared).await {
             Ok(found) => break found,
             Err(error) => {
                 tracing::info!(%error, "cannot read the stored state yet");
@@ -32,8 +34,14 @@
     follow_jobs(shared, handle, token, revision).await;
 }
 
-async fn read_snapshot(store: &Store) -> Result<(Snapshot, u64), StoreError> {
-    let mut snapshot = Snapshot::default();
+async fn read_snapshot(shared: &Shared) -> Result<(Snapshot, u64), StoreError> {
+    let store = &shared.store;
+    let unix_ms = || shared.unix_ms();
+    let mut snapshot = Snapshot {
+        silence: read_silence(shared).await?,
+        word_given_until: shared.word_given_until_s(),
+        ..Snapshot::default()
+    };
     let (pages, _) = store.list(ROSTER).await?;
     for item in pages {
         let Ok(page) = item.key[ROSTER.len()..].parse::<u16>() else {
@@ -83,16 +91,44 @@
     for item in jobs {
         snapshot
             .jobs
-            .extend(stored_job(&item.key, &item.value, item.version));
+            .extend(stored_job(&item.key, &item.value, item.version, unix_ms()));
     }
     Ok((snapshot, revision))
 }
 
-fn stored_job(key: &str, value: &serde_json::Value, version: u64) -> Option<StoredJob> {
+/// The record of silent machines. Ages are taken here, before the core reads its clock.
+async fn read_silence(shared: &Shared) -> Result<Vec<StoredSilence>, StoreError> {
+    let (pages, _) = shared.store.list(SILENCE).await?;
+    let unix_ms = shared.unix_ms();
+    let error_ms = shared.settings.cluster.clock_error_ms.ceil() as u64;
+    let mut all = Vec::new();
+    for item in pages {
+        let Ok(page) = item.key[SILENCE.len()..].parse::<u16>() else {
+            tracing::error!(key = item.key, "not a page of silent machines");
+            continue;
+        };
+        let stamps = serde_json::from_value::<BTreeMap<String, u64>>(item.value)
+            .inspect_err(|error| tracing::error!(page, %error, "silent machines do not parse"));
+        let age = |(name, at)| (name, stamp::age(at, unix_ms, error_ms));
+        all.push(StoredSilence {
+            page: page.into(),
+            version: item.version,
+            ages: stamps.ok().map(|s| s.into_iter().map(age).collect()),
+        });
+    }
+    Ok(all)
+}
+
+fn stored_job(
+    key: &str,
+    value: &serde_json::Value,
+    version: u64,
+    unix_ms: u64,
+) -> Option<StoredJob> {
     match parse_job_record(value) {
         Ok((spec, accepted_ms)) => Some(StoredJob {
             spec,
-            age_s: unix_ms().saturating_sub(accepted_ms) as f64 / 1000.0,
+            age_s: unix_ms.saturating_sub(accepted_ms) as f64 / 1000.0,
             accepted_ms,
             version,
         }),
@@ -112,7 +148,8 @@
                 since = since.max(changes.revision);
                 for event in changes.events {
                     let Some(key) = event.put else { continue };
-                    if let Some(job) = stored_job(&key, &event.value, event.version) {
+                    let job = stored_job(&key, &event.value, event.version, shared.unix_ms());
+                    if let Some(job) = job {
                         let input = Input::Job(job);
                         handle.send(Command::Input { token, input }).await;
                     }
@@ -124,7 +161,9 @@
                 Ok((items, revision)) => {
                     since = revision;
                     for item in items {
-                        if let Some(job) = stored_job(&item.key, &item.value, item.version) {
+                        let job =
+                            stored_job(&item.key, &item.value, item.version, shared.unix_ms());
+                        if let Some(job) = job {
                             let input = Input::Job(job);
                             handle.send(Command::Input { token, input }).await;
                         }
--- a/src/bookkeeping/writer.rs
+++ b/src/bookkeeping/writer.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use copperfield_silence::stamp;
 use serde_json::Value;
 
 use crate::protocol::JobId;
@@ -16,7 +17,7 @@
 
 use super::store::{Store, StoreError, put};
 use super::{
-    DrainRecord, LEADER, drain_key, job_key, parse_terminal, progress_key, roster_key,
+    DrainRecord, LEADER, drain_key, job_key, parse_terminal, progress_key, roster_key, silence_key,
     terminal_key, terminal_record,
 };
 
@@ -45,6 +46,12 @@
         value: Value,
         version: u64,
     },
+    /// Silent machines, and how long ago each was answered when this was decided, in ms.
+    Silence {
+        page: u32,
+        ages: Vec<(String, u64)>,
+        version: u64,
+    },
     /// A drain that begins or changes (`Some`), or ends.
     Drain {
         node: String,
@@ -61,7 +68,8 @@
         }
     }
 
-    fn add_to(&self, txn: &mut Transaction) {
+    /// `unix_ms` has been read after the write was decided.
+    fn add_to(&self, txn: &mut Transaction, unix_ms: u64) {
         let (key, version, change) = match self {
             Self::Finish { job, version, done } => {
                 txn.conditions.push((terminal_key(*job), 0));
@@ -95,6 +103,18 @@
                 let key = roster_key(*page);
                 (key.clone(), *version, put(key, value.clone()))
             }
+            Self::Silence {
+                page,
+                ages,
+                version,
+            } => {
+                let stamp = |(name, age): &(String, u64)| {
+                    (name.clone(), stamp::of_age(*age, unix_ms).into())
+                };
+                let value = Value::Object(ages.iter().map(stamp).collect());
+                let key = silence_key(*page);
+                (key.clone(), *version, put(key, value))
+            }
             Self::Drain {
                 node,
                 record,
@@ -120,6 +140,7 @@
                 progress_key(*job, *chunk)
             }
             Self::Roster { page, .. } => roster_key(*page),
+            Self::Silence { page, .. } => silence_key(*page),
             Self::Drain { node, .. } => drain_key(node),
         }
     }
@@ -155,6 +176,7 @@
     store: Arc<Store>,
     token: u64,
     batch: Vec<Write>,
+    unix_ms: u64,
     still_wanted: impl Fn() -> bool,
 ) -> Result<Vec<(Write, Written)>, WriteError> {
     let mut txn = Transaction {
@@ -162,9 +184,10 @@
         changes: Vec::new(),
     };
     for write in &batch {
-        write.add_to(&mut txn);
+        write.add_to(&mut txn, unix_ms);
     }
-    let urgency = if batch.iter().any(|w| matches!(w, Write::Finish { .. })) {
+    let urgent = |w: &Write| matches!(w, Write::Finish { .. } | Write::Silence { .. });
+    let urgency = if batch.iter().any(urgent) {
         Urgency::High
     } else {
         Urgency::Normal
--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -194,6 +194,7 @@
             && !machine.draining
             && !machine.strays
             && machine.recorded
+            && !machine.on_record
             && machine.reclaim_at.is_none()
             && machine.quarantined_until <= self.now
             && machine.session > machine.dead_session
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -18,6 +18,8 @@
 pub use super::messages::*;
 use super::model::*;
 pub use super::state::{Config, Core, TeamUse};
+use copperfield_silence::Silence;
+
 use super::state::{Fleet, Relocations, Roster, WINDOW_S};
 
 /// How long a job's done bits may wait to be stored together.
@@ -83,6 +85,9 @@
             finish: VecDeque::new(),
             drop_progress: VecDeque::new(),
             roster: Roster::new(value_bytes),
+            silence: Silence::new(value_bytes),
+            unanswered: BTreeMap::new(),
+            word_until: f64::NEG_INFINITY,
             unknown_machines: false,
             next_batch: now,
             next_second: now,
@@ -104,6 +109,7 @@
         for page in snapshot.roster {
             core.restore_roster(page);
         }
+        core.restore_silence(snapshot.silence, snapshot.word_given_until);
         for ix in core.jobs.indices() {
             core.finish_if_done(ix);
         }
@@ -120,6 +126,7 @@
         if self.now >= self.next_batch {
             self.next_batch = self.now + WINDOW_S;
             self.settle();
+            self.note_silent();
             self.run_batch();
         }
         if self.now >= self.next_second {
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -152,7 +152,7 @@
                         tracing::info!(%error, "cannot renew; all other nodes vouch");
                     }
                     on_word = true;
-                    shared.extend_validity(asked + ttl - MARGIN);
+                    shared.lead_on_word(asked + ttl - MARGIN);
                 }
             }
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -22,5 +22,6 @@
 mod relocation;
 mod reports;
 mod roster;
+mod silence;
 mod state;
 mod storing;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -291,6 +291,8 @@
     pub recorded: bool,
     /// By an earlier leader: tasks of that one may be on it.
     pub was_recorded: bool,
+    /// The record of silent machines may name it: it gets no answer and no start.
+    pub on_record: bool,
     pub images: Vec<u32>,
     pub claims: Vec<Claim>,
     /// Kept whole for the next job of this shape.
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -45,6 +45,7 @@
             page: None,
             recorded: false,
             was_recorded: false,
+            on_record: self.silence.holds(name),
             images: Vec::new(),
             claims: Vec::new(),
             kept_for: None,
@@ -95,6 +96,9 @@
             });
             return;
         }
+        let Some(report) = self.may_answer(m, ticket, report) else {
+            return;
+        };
         let machine = &mut self.machines[m];
         machine.answered_at = Some(self.now);
         let counter = report.counter;
@@ -552,10 +556,14 @@
                 }
                 continue;
             }
-            if silent {
+            let on_record = machine.on_record;
+            if silent || on_record {
                 self.unqueue_all(m);
+            }
+            if silent {
                 continue;
             }
+            let machine = &mut self.machines[m];
             let teach = !machine.synced && machine.next_probe <= self.now;
             if machine.outbox.is_empty() && !teach {
                 continue;
--- a/src/coordination/roster.rs
+++ b/src/coordination/roster.rs
@@ -67,6 +67,7 @@
 
     /// A machine that surely holds nothing, and gets nothing until it is heard again.
     pub(super) fn strike(&mut self, m: u32) {
+        self.forget_silence(m);
         self.machines[m].recorded = false;
         if let Some(ix) = self.machines[m].page.take() {
             let at = self.now + STRIKE_AFTER_S;
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -3,9 +3,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+use copperfield_silence::Silence;
+
 use crate::bookkeeping::DrainRecord;
 use crate::protocol::JobId;
 use crate::protocol::job::{Amounts, Standing};
+use crate::protocol::worker::Report;
 use crate::settings::{Cluster, Tuning};
 
 use super::messages::Effect;
@@ -72,6 +75,12 @@
     pub(super) finish: VecDeque<u32>,
     pub(super) drop_progress: VecDeque<(JobId, u32, u64)>,
     pub(super) roster: Roster,
+    /// Machines that this leader has promised not to answer.
+    pub(super) silence: Silence,
+    /// Reports of such machines, answered once their removal from the record is stored.
+    pub(super) unanswered: BTreeMap<String, (u64, Report)>,
+    /// Until when this leader acts on the word of all other nodes.
+    pub word_until: Time,
     /// A page of the roster cannot be read: any machine may hold anything.
     pub(super) unknown_machines: bool,
     pub(super) next_batch: Time,
--- a/src/coordination/storing.rs
+++ b/src/coordination/storing.rs
@@ -19,8 +19,10 @@
         }
         let most = self.config.cluster.state.txn_ops;
         let mut batch: Vec<Write> = Vec::new();
-        let mut ops = 0;
         let mut bytes = 0;
+        // First, as workers wait for their answers until they are off the record.
+        self.silence_writes(&mut batch, most, &mut bytes);
+        let mut ops = batch.len();
         while ops + 2 <= most
             && let Some(ix) = self.finish.pop_front()
         {
@@ -108,6 +110,7 @@
                     job, chunk, value, ..
                 } => self.progress_written(job, chunk, &value, &written),
                 Write::Roster { page, value, .. } => self.roster_written(page, &value, &written),
+                Write::Silence { page, .. } => self.silence_written(page, &written),
                 Write::Drain { node, record, .. } => self.drain_written(node, record, &written),
                 Write::DropProgress { job, chunk, .. } => {
                     if let Written::Again { version } = written {
--- a/src/errands.rs
+++ b/src/errands.rs
@@ -74,7 +74,8 @@
         Effect::Write(batch) => {
             let alive = shared.clone();
             let wanted = move || alive.leads(token);
-            match writer::write(shared.store.clone(), token, batch, wanted).await {
+            match writer::write(shared.store.clone(), token, batch, shared.unix_ms(), wanted).await
+            {
                 Ok(results) => {
                     for (write, written) in &results {
                         let end = match (write, written) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,7 +21,7 @@
 use crate::protocol::job::Standing;
 use crate::protocol::peer::Lookup;
 use crate::protocol::worker::Report;
-use crate::shared::{Shared, unix_ms};
+use crate::shared::Shared;
 use crate::transport::server::Outgoing;
 
 const QUEUE: usize = 2048;
@@ -162,7 +162,7 @@
                     inputs.push(Input::Operate {
                         ticket,
                         order,
-                        unix_ms: unix_ms(),
+                        unix_ms: self.shared.unix_ms(),
                     });
                 }
                 _ => {
@@ -317,6 +317,7 @@
         let mut all = std::mem::take(&mut l.held);
         all.extend(inputs);
         let began = std::time::Instant::now();
+        l.core.word_until = self.shared.word_until_s();
         let effects = l.core.step(self.shared.now_s(), all);
         let _ = self.steps.record(began.elapsed().as_micros() as u64);
         for effect in effects {
--- a/src/service.rs
+++ b/src/service.rs
@@ -25,7 +25,7 @@
 use crate::protocol::state::{Change, Transaction};
 use crate::protocol::worker::Report;
 use crate::settings::{Settings, Tuning};
-use crate::shared::{Shared, unix_ms};
+use crate::shared::Shared;
 use crate::transport::budget::Urgency;
 use crate::transport::client::Network;
 use crate::transport::server::{Incoming, Outgoing};
@@ -214,7 +214,7 @@
                 Err(_) => Outgoing::busy("the state service does not answer", 1),
             };
         }
-        let record = job_record(&spec, unix_ms());
+        let record = job_record(&spec, self.shared.unix_ms());
         let limit = (self.shared.settings.cluster.state.value_kb * 1024.0) as usize;
         if record.to_string().len() > limit {
             return Outgoing::error(400, "description: too large to be stored");
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -33,6 +33,8 @@
     start: Instant,
     /// Until when this node may act as leader, in ms since `start`.
     valid_until: AtomicU64,
+    /// Until when it may on the word of all others, in ms since `start`.
+    word_until: AtomicU64,
     /// The token under which this node leads, 0 if it does not.
     leading: AtomicU64,
     /// Until when this node has promised not to campaign, in ms since `start`.
@@ -71,6 +73,7 @@
             store,
             start: Instant::now(),
             valid_until: AtomicU64::new(0),
+            word_until: AtomicU64::new(0),
             leading: AtomicU64::new(0),
             // A promise made before a crash is forgotten, so none is taken as over
             // until one TTL has passed.
@@ -86,6 +89,11 @@
         }
     }
 
+    /// The time of day. Only ages are taken from it, never an order of events.
+    pub fn unix_ms(&self) -> u64 {
+        self.http.unix_ms()
+    }
+
     pub fn random(&self, below: u64) -> u64 {
         let mut rng = self.rng.lock().expect("no panic while held");
         rng.random_range(0..below)
@@ -99,6 +107,24 @@
         self.start.elapsed().as_secs_f64()
     }
 
+    /// Until when answers of an earlier leader may have gone out on this node's word: a
+    /// promise, or one that was made before a restart. On the clock of [`Self::now_s`].
+    pub fn word_given_until_s(&self) -> f64 {
+        self.promised_until.load(Ordering::Relaxed) as f64 / 1000.0
+    }
+
+    /// This leader acts on the word of all others until then.
+    pub fn lead_on_word(&self, until: Instant) {
+        self.word_until.fetch_max(self.ms(until), Ordering::Relaxed);
+        self.extend_validity(until);
+    }
+
+    /// Until when this leader acts on the word of all others, on the clock of
+    /// [`Self::now_s`].
+    pub fn word_until_s(&self) -> f64 {
+        self.word_until.load(Ordering::Relaxed) as f64 / 1000.0
+    }
+
     pub fn extend_validity(&self, until: Instant) {
         self.valid_until
             .fetch_max(self.ms(until), Ordering::Relaxed);
@@ -220,10 +246,3 @@
             .map(|p| p.peer_addr)
     }
 }
-
-/// The time of day. Only ages are taken from it, never an order of events.
-pub fn unix_ms() -> u64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
-}
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -55,8 +55,16 @@
 
 pub type Exchange<'a> = Pin<Box<dyn Future<Output = Result<Answer, CallError>> + Send + 'a>>;
 
-/// How a controller reaches others. Tests put a simulated network in its place.
+/// How a controller reaches others, and the time of day that it shares with them. Tests put
+/// a simulated network in its place.
 pub trait Network: Send + Sync {
+    /// Milliseconds since 1970, within the platform's `clock_error_ms`.
+    fn unix_ms(&self) -> u64 {
+        std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64)
+    }
+
     fn call(
         &self,
         method: Method,
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -217,8 +217,8 @@
     let snapshot = Snapshot {
         jobs: vec![stored(&json!({"uid": "wk-000001"}), 40)],
         progress: Vec::new(),
-        drains: Vec::new(),
         roster: page(pages),
+        ..Snapshot::default()
     };
     let mut crew = Crew::after(TYPES, cluster(), 60, snapshot);
     crew.add("a-small-0", "small", "a", 0.2);
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -87,6 +87,13 @@
 }
 
 impl Network for Net {
+    /// Each node's clock is off by its own part of what the settings allow.
+    fn unix_ms(&self) -> u64 {
+        let off = [0, 50, 25][self.me.as_bytes()[5] as usize % 3];
+        let passed = self.world.lock().unwrap().start.elapsed().as_millis() as u64;
+        1_700_000_000_000 + passed + off
+    }
+
     fn call(
         &self,
         method: Method,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -335,8 +335,8 @@
             stored(2, 40, json!({"cpus": 1.0})),
         ],
         progress: Vec::new(),
-        drains: Vec::new(),
         roster: roster(vec![recorded("vm-000001", "a"), recorded("vm-000002", "b")]),
+        ..Snapshot::default()
     };
     let mut p = Play::new(snapshot);
     p.note("elected with token 50; the recorded machines are asked what they hold");
