--- a/tests/moves_random.rs
+++ b/tests/moves_random.rs
@@ -247,7 +247,7 @@
         let cluster: Value = json!({"zones": ["a", "b"], "teams": [{"name": "team", "gpus_max": MOST_GPUS}],
             "workers": {"report_s": 2.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0, "cancel_s": 30.0},
             "state": {"rps": 200, "write_rps": 50, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 5},
-            "limits": {"max_sockets": 1000}});
+            "limits": {"max_sockets": 1000}, "clock_error_ms": 25});
         let mut tuning = Tuning {
             fleet_max: 1,
             idle_return_s: 1e6,
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -754,6 +754,30 @@
     expect_clean("machines", 40..44, &faults, 0.005);
 }
 
+/// Longer and shorter than their lease, with one leader after another ending meanwhile, and
+/// over an outage in which the leader acts on the word of all.
+#[test]
+fn machines_fall_silent_and_come_back_while_leaders_change() {
+    let faults = [
+        (10.0, Fault::CutMachine(2, 14.0)),
+        (10.0, Fault::CutMachine(4, 5.0)),
+        (13.0, Fault::Kill(0)),
+        (14.5, Fault::Kill(1)),
+        (16.0, Fault::Kill(2)),
+        (28.0, Fault::CutMachine(1, 4.5)),
+        (28.0, Fault::Hang(3, 5.0)),
+        (30.0, Fault::Outage(5.0)),
+        (36.0, Fault::Kill(1)),
+        (48.0, Fault::CutMachine(0, 4.0)),
+        (51.0, Fault::Outage(4.0)),
+        (53.0, Fault::KillAll),
+        (62.0, Fault::CutMachine(5, 9.0)),
+        (65.0, Fault::Freeze(0, 2.5)),
+        (65.5, Fault::Freeze(1, 2.0)),
+    ];
+    expect_clean("silence", 80..90, &faults, 0.004);
+}
+
 /// Shorter than a leader's word lasts, about as long, longer, and much longer;
 /// whichever node leads is among them.
 #[test]
