The stand-in ends the lease of a machine that hangs; who may lead after a restart, tested

The stand-in kept the tasks of a hung machine until it woke, though only within its lease may it go on with what it had. Change: the lease of a hung machine ends too.

--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -387,8 +387,10 @@
         m.answered_sent = m.answered_sent.max(sent);
     }
 
-    /// One step of a machine's own life.
-    pub fn live(&mut self, name: &str, passed: f64) {
+    /// Ends a session whose lease has run out, also of a machine that hangs: only within its
+    /// lease may that go on with what it had. It once kept its tasks until it woke, and a
+    /// start elsewhere after the end of its lease was taken for a broken rule.
+    pub fn end_lease(&mut self, name: &str) {
         let now = self.now;
         let m = self.machines.get_mut(name).expect("exists");
         if now - m.answered_sent > LEASE_S * DRIFT {
@@ -400,6 +402,12 @@
                 self.leaves(name, task, t.attempt);
             }
         }
+    }
+
+    /// One step of a machine's own life.
+    pub fn live(&mut self, name: &str, passed: f64) {
+        let now = self.now;
+        self.end_lease(name);
         let m = self.machines.get_mut(name).expect("exists");
         let ready: Vec<String> = m
             .tasks
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -324,7 +324,11 @@
         let names: Vec<String> = w.site.machines.keys().cloned().collect();
         for name in &names {
             let m = &w.site.machines[name];
-            if m.up_at > now || m.hung || m.dead {
+            if m.up_at > now || m.dead {
+                continue;
+            }
+            if m.hung {
+                w.site.end_lease(name);
                 continue;
             }
             w.site.live(name, step);
@@ -516,6 +520,34 @@
     body
 }
 
+/// Six machines in two zones, and three controllers that have just started.
+fn site(seed: u64, loss: f64) -> Shared2 {
+    let world: Shared2 = Arc::new(Mutex::new(World {
+        site: Site::default(),
+        state: StateService::default(),
+        services: vec![None; NODES],
+        alive: vec![Arc::default(); NODES],
+        frozen: BTreeSet::new(),
+        cuts: BTreeSet::new(),
+        loss,
+        rng: StdRng::seed_from_u64(seed),
+        start: Instant::now(),
+    }));
+    for i in 0..6 {
+        let zone = if i % 2 == 0 { "a" } else { "b" };
+        world.lock().unwrap().site.add_machine(
+            if i < 4 { "small" } else { "big" },
+            zone,
+            false,
+            0.0,
+        );
+    }
+    for i in 0..NODES {
+        boot(&world, i, seed * 1000);
+    }
+    world
+}
+
 /// Plays a day and returns the rules broken, the starts, and which jobs were told done.
 fn play(
     seed: u64,
@@ -529,29 +561,7 @@
         .build()
         .unwrap();
     runtime.block_on(async move {
-        let world: Shared2 = Arc::new(Mutex::new(World {
-            site: Site::default(),
-            state: StateService::default(),
-            services: vec![None; NODES],
-            alive: vec![Arc::default(); NODES],
-            frozen: BTreeSet::new(),
-            cuts: BTreeSet::new(),
-            loss,
-            rng: StdRng::seed_from_u64(seed),
-            start: Instant::now(),
-        }));
-        for i in 0..6 {
-            let zone = if i % 2 == 0 { "a" } else { "b" };
-            world.lock().unwrap().site.add_machine(
-                if i < 4 { "small" } else { "big" },
-                zone,
-                false,
-                0.0,
-            );
-        }
-        for i in 0..NODES {
-            boot(&world, i, seed * 1000);
-        }
+        let world = site(seed, loss);
         tokio::spawn(machines(world.clone()));
         let mut id = 0;
         for round in 0..6 {
@@ -831,6 +841,56 @@
     expect_clean("a storm", 70..73, &faults, 0.002);
 }
 
+fn leader(world: &Shared2) -> Option<usize> {
+    let mut w = world.lock().unwrap();
+    let now = w.now();
+    let (status, found) = w.state.handle(now, "GET", "/kv/cf/leader", b"");
+    let name = (status == 200).then(|| found["data"]["member"].as_str().expect("a name"))?;
+    Some(name["host-".len()..].parse().expect("a number"))
+}
+
+/// A node that restarted a moment ago may have given its word just before, so it must take
+/// silent machines as answered since. It once led, and started the leases of 396 machines
+/// anew, though another node remembered all of it.
+#[test]
+fn who_restarted_lately_lets_others_lead_while_machines_are_silent() {
+    for seed in 100..106 {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(async move {
+            let world = site(seed, 0.0);
+            tokio::spawn(machines(world.clone()));
+            sleep(Duration::from_secs(8)).await;
+            tokio::spawn(inflict(
+                world.clone(),
+                0.0,
+                Fault::CutMachine(2, 30.0),
+                seed,
+            ));
+            // On the record by now.
+            sleep(Duration::from_secs_f64(3.4)).await;
+            let first = leader(&world).expect("a first");
+            kill(&world, first);
+            boot(&world, first, seed + 50);
+            sleep(Duration::from_secs_f64(2.6)).await;
+            let second = leader(&world).expect("a second");
+            assert_ne!(second, first, "seed {seed}");
+            kill(&world, second);
+            boot(&world, second, seed + 60);
+            sleep(Duration::from_secs_f64(3.0)).await;
+            let third = leader(&world).expect("a third");
+            assert_eq!(
+                third,
+                3 - first - second,
+                "seed {seed}: not {first} nor {second}"
+            );
+        });
+    }
+}
+
 #[test]
 fn a_day_repeats_exactly() {
     let faults = [(10.0, Fault::Kill(0)), (20.0, Fault::Outage(5.0))];
