Tidy: one failure type for calls, one way to read a head, one simulated runtime in tests

Twins that the change had made: the transport mapped the pool's failures to the same of its own, requests and answers read the status of a head alike, two tests built a runtime.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -99,22 +99,25 @@
     }
 }
 
-fn unfinished<T>(bytes: &[u8]) -> Result<Option<T>, Malformed> {
-    if bytes.len() > MOST_HEAD {
-        return Err(Malformed::TooLong);
+/// The length of a head, `None` until all of it is there.
+fn whole(parsed: httparse::Result<usize>, bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    match parsed.map_err(|e| syntax(&e))? {
+        httparse::Status::Complete(length) if length <= MOST_HEAD => Ok(Some(length)),
+        httparse::Status::Partial if bytes.len() <= MOST_HEAD => Ok(None),
+        _ => Err(Malformed::TooLong),
     }
-    Ok(None)
+}
+
+fn syntax(error: &dyn std::fmt::Display) -> Malformed {
+    Malformed::Syntax(error.to_string())
 }
 
 /// The head at the start of `bytes`; `None` until all of it is there.
 pub fn request(bytes: &[u8]) -> Result<Option<Request>, Malformed> {
     let mut lines = [httparse::EMPTY_HEADER; MOST_LINES];
     let mut parsed = httparse::Request::new(&mut lines);
-    let syntax = |e: &dyn std::fmt::Display| Malformed::Syntax(e.to_string());
-    let length = match parsed.parse(bytes).map_err(|e| syntax(&e))? {
-        httparse::Status::Complete(length) if length <= MOST_HEAD => length,
-        httparse::Status::Complete(_) => return Err(Malformed::TooLong),
-        httparse::Status::Partial => return unfinished(bytes),
+    let Some(length) = whole(parsed.parse(bytes), bytes)? else {
+        return Ok(None);
     };
     let headers = map(parsed.headers)?;
     let method = parsed.method.unwrap_or_default().as_bytes();
@@ -137,11 +140,8 @@
 pub fn response(bytes: &[u8]) -> Result<Option<Response>, Malformed> {
     let mut lines = [httparse::EMPTY_HEADER; MOST_LINES];
     let mut parsed = httparse::Response::new(&mut lines);
-    let syntax = |e: &dyn std::fmt::Display| Malformed::Syntax(e.to_string());
-    let length = match parsed.parse(bytes).map_err(|e| syntax(&e))? {
-        httparse::Status::Complete(length) if length <= MOST_HEAD => length,
-        httparse::Status::Complete(_) => return Err(Malformed::TooLong),
-        httparse::Status::Partial => return unfinished(bytes),
+    let Some(length) = whole(parsed.parse(bytes), bytes)? else {
+        return Ok(None);
     };
     let headers = map(parsed.headers)?;
     let status = parsed.code.unwrap_or_default();
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -5,28 +5,11 @@
 use std::pin::Pin;
 use std::time::Duration;
 
-use bytes::Bytes;
-use copperfield_http::{Failure, Pool, Reply};
+use copperfield_http::Pool;
+pub use copperfield_http::{Failure as CallError, Reply as Answer};
 use hyper::Method;
-use thiserror::Error;
 use tokio::time::{Instant, timeout};
 
-#[derive(Debug, Clone, Error)]
-pub enum CallError {
-    /// The connection never came about, so the request surely did not arrive.
-    #[error("could not connect")]
-    Unsent,
-    /// It may have been carried out, or may still be.
-    #[error("no answer: {0}")]
-    Unknown(String),
-}
-
-#[derive(Debug, Clone)]
-pub struct Answer {
-    pub status: u16,
-    pub body: Bytes,
-}
-
 /// Responses larger than this are refused: a page of the state service is
 /// 512 KiB at most, and memory is short.
 const MAX_RESPONSE: usize = 4 * 1024 * 1024;
@@ -81,13 +64,7 @@
     ) -> Exchange<'_> {
         let path = path.to_string();
         Box::pin(async move {
-            let exchange = async {
-                match self.pool.call(&method, to, &path, &body).await {
-                    Ok(Reply { status, body }) => Ok(Answer { status, body }),
-                    Err(Failure::Unsent) => Err(CallError::Unsent),
-                    Err(Failure::Unknown(why)) => Err(CallError::Unknown(why)),
-                }
-            };
+            let exchange = self.pool.call(&method, to, &path, &body);
             within(deadline, exchange).await
         })
     }
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -548,6 +548,15 @@
     world
 }
 
+/// In simulated time.
+fn simulate<T>(day: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build();
+    runtime.unwrap().block_on(day)
+}
+
 /// Plays a day and returns the rules broken, the starts, and which jobs were told done.
 fn play(
     seed: u64,
@@ -555,12 +564,7 @@
     loss: f64,
     until: f64,
 ) -> (Vec<String>, usize, BTreeMap<String, Option<&'static str>>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(async move {
+    simulate(async move {
         let world = site(seed, loss);
         tokio::spawn(machines(world.clone()));
         let mut id = 0;
@@ -855,12 +859,7 @@
 #[test]
 fn who_restarted_lately_lets_others_lead_while_machines_are_silent() {
     for seed in 100..106 {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .unwrap();
-        runtime.block_on(async move {
+        simulate(async move {
             let world = site(seed, 0.0);
             tokio::spawn(machines(world.clone()));
             sleep(Duration::from_secs(8)).await;
