--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -20,6 +20,9 @@
 /// The first read of a request; most fit.
 const FIRST_READ: usize = 1024;
 
+/// The longest that a client may go on sending after its last answer.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// What a server holds its clients to.
 #[derive(Clone)]
 pub struct Rules {
@@ -76,6 +79,14 @@
     }
 }
 
+/// What becomes of a connection after an answer.
+enum After {
+    Next,
+    Close,
+    /// Close, though the client may still be sending.
+    Linger,
+}
+
 struct Connection<H> {
     stream: TcpStream,
     rules: Arc<Rules>,
@@ -97,8 +108,10 @@
                 return Ok(());
             }
             // Boxed, so that an idle connection is small.
-            if !Box::pin(self.exchange()).await? {
-                return self.stream.shutdown().await;
+            match Box::pin(self.exchange()).await? {
+                After::Next => {}
+                After::Close => return self.stream.shutdown().await,
+                After::Linger => return Box::pin(self.linger()).await,
             }
         }
     }
@@ -120,8 +133,17 @@
         }
     }
 
-    /// One request and its answer; whether another may follow.
-    async fn exchange(&mut self) -> io::Result<bool> {
+    /// A socket closed with bytes unread is reset, and a client that is still sending loses the
+    /// answer with it. So what still comes is thrown away, for a bounded time.
+    async fn linger(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let to_the_end = skip(&mut self.stream, usize::MAX);
+        let _ = timeout(self.rules.idle.min(LINGER), to_the_end).await;
+        Ok(())
+    }
+
+    /// One request and its answer.
+    async fn exchange(&mut self) -> io::Result<After> {
         let mut bytes = std::mem::take(&mut self.rest);
         let idle = self.rules.idle;
         let parsed = timeout(idle, read_head(&mut self.stream, &mut bytes)).await?;
@@ -130,7 +152,7 @@
             Err(problem) => {
                 let refused = (self.rules.refusal)(StatusCode::BAD_REQUEST, &problem.to_string());
                 self.answer(refused, false, false).await?;
-                return Ok(false);
+                return Ok(After::Linger);
             }
         };
         bytes.drain(..request.length);
@@ -144,14 +166,23 @@
         };
         let of_head = request.method == http::Method::HEAD;
         let mut keep = request.keep_alive && length.is_some();
+        let mut unread = length.is_none();
         let Some(_charge) = self.rules.meter.request(length.unwrap_or(0), standing) else {
             let what = "too much is under way";
             let refused = (self.rules.refusal)(StatusCode::SERVICE_UNAVAILABLE, what);
-            // Read past it, so that the answer is not lost with the connection.
-            let left = length.unwrap_or(0).saturating_sub(bytes.len());
-            timeout(self.rules.whole, skip(&mut self.stream, left)).await??;
+            // Told at once, and only then is its body read past. A client that waits for leave
+            // to send may send nothing or all of it: the next request would not be found.
+            keep &= !request.expects_continue;
             self.answer(refused, keep, of_head).await?;
-            return Ok(keep);
+            if !keep {
+                return Ok(After::Linger);
+            }
+            let length = length.unwrap_or(0);
+            self.rest = bytes.split_off(length.min(bytes.len()));
+            let left = length - bytes.len();
+            drop(bytes);
+            timeout(self.rules.whole, skip(&mut self.stream, left)).await??;
+            return Ok(After::Next);
         };
         let whole = async {
             if request.expects_continue && length.is_some_and(|l| l > bytes.len()) {
@@ -178,6 +209,7 @@
             Err(_) => {
                 // What is left of it would be taken for the next request.
                 keep = false;
+                unread = true;
                 let what = "the request took too long to arrive";
                 (self.rules.refusal)(StatusCode::REQUEST_TIMEOUT, what)
             }
@@ -185,7 +217,11 @@
         let crowded = self.crowd.available_permits() < self.most / self.rules.spare;
         keep &= !(standing == Standing::User && crowded);
         timeout(self.rules.whole, self.answer(answer, keep, of_head)).await??;
-        Ok(keep)
+        Ok(match (keep, unread) {
+            (true, _) => After::Next,
+            (false, false) => After::Close,
+            (false, true) => After::Linger,
+        })
     }
 
     async fn answer(
--- a/crates/http/tests/connections.rs
+++ b/crates/http/tests/connections.rs
@@ -181,6 +181,54 @@
     assert_eq!(reply.expect("answered").status, 200);
 }
 
+/// Guards against a refusal that waits for the body: a client that stalls within it got no
+/// answer at all. It is told at once, its body is read past when it comes, and what follows on
+/// the connection, sent along with the body, is served.
+#[tokio::test]
+async fn a_refusal_does_not_wait_for_the_body() {
+    // No room for such a body.
+    let address = server(Meter::new(128 * 1024)).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let half = b"POST /work HTTP/1.1\r\ncontent-length: 60000\r\n\r\nhalf";
+    stream.write_all(half).await.expect("sent");
+    let mut bytes = vec![0; 1000];
+    let read = timeout(Duration::from_millis(200), stream.read(&mut bytes)).await;
+    let read = read.expect("at once").expect("open");
+    let answer = String::from_utf8_lossy(&bytes[..read]);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: 1"), "{answer}");
+    let mut rest = vec![b'x'; 60_000 - 4];
+    rest.extend_from_slice(b"GET /hello HTTP/1.1\r\nconnection: close\r\n\r\n");
+    stream.write_all(&rest).await.expect("sent");
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    timeout(Duration::from_millis(500), read)
+        .await
+        .expect("closed")
+        .expect("text");
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+}
+
+/// Guards against an answer that is lost with a reset, since the client was still sending.
+#[tokio::test]
+async fn a_client_that_is_still_sending_gets_its_answer() {
+    let address = server(Meter::new(4 << 20)).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let head = b"POST /work HTTP/1.1\r\ncontent-length: 8000000\r\n\r\n";
+    stream.write_all(head).await.expect("sent");
+    stream
+        .write_all(&vec![b'x'; 8_000_000])
+        .await
+        .expect("no reset");
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    timeout(Duration::from_millis(500), read)
+        .await
+        .expect("closed")
+        .expect("no reset");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
+
 /// A server of a few words.
 async fn says(words: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/crates/silence/src/stamp.rs
+++ b/crates/silence/src/stamp.rs
@@ -29,7 +29,9 @@
 
     proptest! {
         /// Whatever the clocks do within their bounds, the reader never takes an answer for
-        /// older than it is, and is off by no more than the bounds and 0.2%.
+        /// older than it is. What is given away is bounded too: four clock errors (two bounds,
+        /// each for the writer and the reader) and 0.3%, which are two margins of 0.1% and the
+        /// drift of two clocks. 0.25% stood here, and one run in some thousands failed on it.
         #[test]
         fn an_age_is_never_overstated(
             kept in 0u64..100_000, passed in 0u64..100_000, error in 0u64..500,
@@ -44,7 +46,7 @@
             // What the reader's steady clock would have shown since the answer.
             let truth = steady(kept + passed, drift_r);
             prop_assert!(found <= truth, "{found} ms, and it is {truth}");
-            prop_assert!(found + 4 * error + truth / 400 + 6 >= truth, "{found} of {truth} ms");
+            prop_assert!(found + 4 * error + truth * 3 / 1000 + 6 >= truth, "{found} of {truth} ms");
         }
     }
 }
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -131,8 +131,8 @@
     pub roster: Vec<RosterPage>,
     pub drains: Vec<StoredDrain>,
     pub silence: Vec<StoredSilence>,
-    /// Until when an earlier leader may have answered on this node's word, on the clock of
-    /// the core.
+    /// Until when machines may have been answered on this node's word, by an earlier leader or
+    /// by itself when it led, on the clock of the core.
     pub word_held_until: f64,
 }
 
--- a/src/bookkeeping/recovery.rs
+++ b/src/bookkeeping/recovery.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use copperfield_silence::stamp;
+use serde::de::DeserializeOwned;
 
 use super::store::StoreError;
 use super::{
@@ -44,17 +45,15 @@
     };
     let (pages, _) = store.list(ROSTER).await?;
     for item in pages {
-        let Ok(page) = item.key[ROSTER.len()..].parse::<u16>() else {
-            tracing::error!(key = item.key, "not a page of the roster");
+        let Some(page) = number(&item.key, ROSTER) else {
             continue;
         };
         // Never dropped: the core then holds back what machines unknown to it may hold.
-        let machines = serde_json::from_value::<BTreeMap<String, MachineRecord>>(item.value)
-            .inspect_err(|error| tracing::error!(page, %error, "roster page does not parse"));
+        let machines = entries::<MachineRecord>(&item.key, item.value);
         snapshot.roster.push(RosterPage {
-            page: page.into(),
+            page,
             version: item.version,
-            machines: machines.ok().map(|m| m.into_iter().collect()),
+            machines: machines.map(|m| m.into_iter().collect()),
         });
     }
     let (progress, _) = store.list(PROGRESS).await?;
@@ -103,22 +102,39 @@
     let error_ms = shared.settings.cluster.clock_error_ms.ceil() as u64;
     let mut all = Vec::new();
     for item in pages {
-        let Ok(page) = item.key[SILENCE.len()..].parse::<u16>() else {
-            tracing::error!(key = item.key, "not a page of silent machines");
+        let Some(page) = number(&item.key, SILENCE) else {
             continue;
         };
-        let stamps = serde_json::from_value::<BTreeMap<String, u64>>(item.value)
-            .inspect_err(|error| tracing::error!(page, %error, "silent machines do not parse"));
         let age = |(name, at)| (name, stamp::age(at, unix_ms, error_ms));
+        let stamps = entries::<u64>(&item.key, item.value);
         all.push(StoredSilence {
-            page: page.into(),
+            page,
             version: item.version,
-            ages: stamps.ok().map(|s| s.into_iter().map(age).collect()),
+            ages: stamps.map(|s| s.into_iter().map(age).collect()),
         });
     }
     Ok(all)
 }
 
+/// The number of the page that is kept under this key.
+fn number(key: &str, prefix: &str) -> Option<u32> {
+    let page = key.strip_prefix(prefix).and_then(|n| n.parse::<u16>().ok());
+    if page.is_none() {
+        tracing::error!(key, "not a page");
+    }
+    page.map(u32::from)
+}
+
+/// What a page says of each machine that it names.
+fn entries<T: DeserializeOwned>(
+    key: &str,
+    value: serde_json::Value,
+) -> Option<BTreeMap<String, T>> {
+    serde_json::from_value(value)
+        .inspect_err(|error| tracing::error!(key, %error, "page does not parse"))
+        .ok()
+}
+
 fn stored_job(
     key: &str,
     value: &serde_json::Value,
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -57,7 +57,6 @@
                 let Some(&m) = self.machine_ids.get(name) else {
                     continue;
                 };
-                self.machines[m].on_record = true;
                 self.machines[m].answered_at = Some(*at);
                 proved += 1;
             }
@@ -69,9 +68,7 @@
             };
             self.silence.restore(stored, ms(now));
         }
-        for (_, machine) in self.machines.iter_mut() {
-            machine.on_record = self.silence.holds(&machine.name);
-        }
+        self.mark_recorded();
         let names: Vec<String> = self.silence.names().map(str::to_string).collect();
         for name in names.iter().filter(|n| !self.machine_ids.contains_key(*n)) {
             self.silence.heard(name, ms(now + LATER_S));
@@ -81,6 +78,13 @@
         }
     }
 
+    /// Brings what each machine knows of itself in line with the record.
+    fn mark_recorded(&mut self) {
+        for (_, machine) in self.machines.iter_mut() {
+            machine.on_record = self.silence.holds(&machine.name);
+        }
+    }
+
     /// Puts machines on the record that have not reported for longer than they ever do.
     pub(super) fn note_silent(&mut self) {
         if !self.clocks_are_bounded() {
@@ -156,9 +160,7 @@
             }
             Written::Ended(_) => return,
         }
-        for (_, machine) in self.machines.iter_mut() {
-            machine.on_record = self.silence.holds(&machine.name);
-        }
+        self.mark_recorded();
         let waiting = std::mem::take(&mut self.unanswered);
         for (name, (ticket, report)) in waiting {
             if self.silence.holds(&name) {
--- a/src/main.rs
+++ b/src/main.rs
@@ -159,8 +159,8 @@
     }
 }
 
-/// Bytes that connections and requests under way may hold: what the platform gives, less
-/// the program and what the core keeps of a fleet that fills the sockets.
+/// Bytes that connections and requests under way may hold: a quarter of what the platform
+/// gives. The rest is for the program and what the core keeps of the fleet.
 fn for_clients(settings: &Settings) -> usize {
     const MIB: f64 = 1024.0 * 1024.0;
     let limits = &settings.cluster.limits;
