--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -13,10 +13,10 @@
 use super::state::Core;
 
 /// Messages that are out and may be answered any moment.
-const WINDOW: usize = 128;
+const WINDOW: usize = 256;
 /// One that is out for longer waits for a machine, not for this process, and makes way: on
 /// ordinary days answers come within 20 ms.
-const YOUNG_S: Time = 0.15;
+const YOUNG_S: Time = 0.2;
 /// Questions to machines that are late or silent, at once: most wait out their deadline.
 const TO_SILENT: usize = 64;
 /// So many old ones of a zone are not taken for a sign yet.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -15,7 +15,7 @@
 const TYPES: &str = r#"{"flavors":[
  {"name":"small","cpus":4,"memory_gb":16,"local_gb":50,"pull_gb_per_s":1,"price":0.2,"ready_s":10,"regions":["a","b"]}]}"#;
 const TOKEN: u64 = 50;
-const WINDOW: usize = 128;
+const WINDOW: usize = 256;
 
 /// A new leader of so many machines in each of two zones, a and b.
 fn leader(each: usize, jobs: &[Value]) -> Core {
