--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -82,7 +82,7 @@
         out = rest;
         let answer = |(_, machine, flight): (f64, String, u64)| Input::Direct {
             outcome: if machine.starts_with('a') {
-                DirectOutcome::Rejected(Some(report(&machine)))
+                DirectOutcome::Executed(report(&machine))
             } else {
                 DirectOutcome::Unsent
             },
@@ -90,6 +90,8 @@
             flight,
         };
         for effect in core.step(now, due.into_iter().map(answer).collect()) {
+            let again = matches!(&effect, Effect::Direct { .. });
+            assert!(!again, "the question has taught the token: {effect:?}");
             if let Effect::Inspect {
                 machine, flight, ..
             } = effect
