--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -45,7 +45,7 @@
 
 impl Core {
     /// Asks a machine for its report.
-    fn ask(&mut self, m: u32) {
+    pub(super) fn ask(&mut self, m: u32) {
         let flight = self.next_flight;
         self.next_flight += 1;
         let machine = &mut self.machines[m];
@@ -69,11 +69,9 @@
         self.config.cluster.workers.report_s * 1.04
     }
 
-    /// Asks a machine that is late or silent, unless many are.
-    pub(super) fn ask_silent(&mut self, m: u32) {
-        if self.out().to_silent < TO_SILENT {
-            self.ask(m);
-        }
+    /// How many more late or silent machines may be asked now.
+    pub(super) fn questions_left(&self) -> usize {
+        TO_SILENT.saturating_sub(self.out().to_silent)
     }
 
     /// Sends what cannot wait for the next report.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -448,7 +448,7 @@
             .filter(|(_, at)| self.now - at > latest)
             .count();
         let network = late as f64 > 0.4 * (f64::from(heard) + (silent.len() - late) as f64);
-        let mut latest_heard = None;
+        let (mut latest_heard, mut questions_left) = (None, None);
         for (m, at) in silent {
             let machine = &self.machines[m];
             let serves = machine
@@ -471,7 +471,11 @@
                 self.machines[m].returning = true;
                 self.send_returns();
             } else if machine.flight.is_none() && machine.next_probe <= self.now {
-                self.ask_silent(m);
+                let left = questions_left.get_or_insert_with(|| self.questions_left());
+                if *left > 0 {
+                    *left -= 1;
+                    self.ask(m);
+                }
             }
         }
     }
