Questions and orders share their sending; one fixed fleet for the tests

Found on reading the change again: since a question is orders without an order, the same code stood twice in errands.rs, in the stand-in's crew and in dispatch.rs (`send_direct`, `take_orders`, `new_flight` and `fly` now). Three places wrote the same settings of a fixed fleet. Left: `items` and `cheapest` of the planner take the same six references; a struct for them would have no third user.

--- a/crates/standins/examples/fragmentation.rs
+++ b/crates/standins/examples/fragmentation.rs
@@ -14,9 +14,8 @@
 use std::thread;
 
 use copperfield::bookkeeping::Snapshot;
-use copperfield::settings::Tuning;
 use copperfield_protocol::JobId;
-use copperfield_standins::crew::Crew;
+use copperfield_standins::crew::{Crew, fixed_fleet};
 use hdrhistogram::Histogram;
 use plotters::prelude::*;
 use rand::rngs::StdRng;
@@ -89,12 +88,7 @@
 
 impl Play {
     fn new(case: Case) -> Self {
-        let mut tuning = Tuning {
-            fleet_max: 1,
-            idle_return_s: 1e6,
-            deserted_return_s: 1e6,
-            ..Tuning::default()
-        };
+        let mut tuning = fixed_fleet();
         tuning.defragmentation.enabled = case.moves == Moves::Planner;
         let mut crew = Crew::tuned(TYPES, cluster(), 50, Snapshot::default(), tuning);
         for i in 0..case.nodes {
--- a/crates/standins/src/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -570,17 +570,7 @@
                 commands,
                 ..
             } => {
-                let known = self.workers.contains_key(&machine);
-                let reached = known && !self.silent.contains(&machine);
-                let outcome = if !reached {
-                    DirectOutcome::Unsent
-                } else if self.workers[&machine].session == session {
-                    self.obey(&machine, &commands);
-                    DirectOutcome::Executed(self.report(&machine))
-                } else {
-                    DirectOutcome::Rejected(Some(self.report(&machine)))
-                };
-                self.answer_direct(machine, flight, outcome);
+                self.take_orders(machine, session, flight, &commands);
             }
             Effect::Inspect {
                 machine,
@@ -588,17 +578,7 @@
                 flight,
                 ..
             } => {
-                let known = self.workers.contains_key(&machine);
-                let reached = known && !self.silent.contains(&machine);
-                let outcome = if !reached {
-                    DirectOutcome::Unsent
-                } else if self.workers[&machine].session == session {
-                    self.obey(&machine, &[]);
-                    DirectOutcome::Executed(self.report(&machine))
-                } else {
-                    DirectOutcome::Rejected(Some(self.report(&machine)))
-                };
-                self.answer_direct(machine, flight, outcome);
+                self.take_orders(machine, session, flight, &[]);
             }
             Effect::Write(batch) if self.outage => self.withheld.push(batch),
             Effect::Write(batch) => self.store(batch),
@@ -702,7 +682,18 @@
     }
 
     /// A silent machine is known to be so only when the time to connect is over.
-    fn answer_direct(&mut self, machine: String, flight: u64, outcome: DirectOutcome) {
+    /// What was sent to a worker's own address; a question is orders without an order.
+    fn take_orders(&mut self, machine: String, session: u64, flight: u64, orders: &[Command]) {
+        let known = self.workers.contains_key(&machine);
+        let reached = known && !self.silent.contains(&machine);
+        let outcome = if !reached {
+            DirectOutcome::Unsent
+        } else if self.workers[&machine].session == session {
+            self.obey(&machine, orders);
+            DirectOutcome::Executed(self.report(&machine))
+        } else {
+            DirectOutcome::Rejected(Some(self.report(&machine)))
+        };
         let after = match outcome {
             DirectOutcome::Unsent => 0.5,
             _ => 0.01,
@@ -724,6 +715,16 @@
     )
 }
 
+/// Settings under which the core rents one machine at most and returns none for being idle.
+pub fn fixed_fleet() -> Tuning {
+    Tuning {
+        fleet_max: 1,
+        idle_return_s: 1e6,
+        deserted_return_s: 1e6,
+        ..Tuning::default()
+    }
+}
+
 /// A job as the state service keeps it.
 pub fn stored(body: &Value, version: u64) -> StoredJob {
     let mut whole = json!({"jobclass": "c", "owner": "team", "shape": "sweep", "rank": "normal",
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -46,15 +46,10 @@
 impl Core {
     /// Asks a machine for its report.
     pub(super) fn ask(&mut self, m: u32) {
-        let flight = self.next_flight;
-        self.next_flight += 1;
-        let machine = &mut self.machines[m];
-        machine.next_probe = self.now + 1.0;
-        machine.flight = Some(Flight {
-            id: flight,
-            since: self.now,
-            starts: Vec::new(),
-        });
+        let flight = self.new_flight();
+        self.machines[m].next_probe = self.now + 1.0;
+        self.fly(m, flight, Vec::new());
+        let machine = &self.machines[m];
         self.effects.push(Effect::Inspect {
             machine: machine.name.clone(),
             address: machine.address.clone(),
@@ -64,6 +59,21 @@
         });
     }
 
+    fn new_flight(&mut self) -> u64 {
+        let flight = self.next_flight;
+        self.next_flight += 1;
+        flight
+    }
+
+    /// A message is out to a machine, with these starts in it.
+    fn fly(&mut self, m: u32, flight: u64, starts: Vec<CopyKey>) {
+        self.machines[m].flight = Some(Flight {
+            id: flight,
+            since: self.now,
+            starts,
+        });
+    }
+
     /// A machine whose report has not come after this long is late.
     pub(super) fn late_after_s(&self) -> f64 {
         self.config.cluster.workers.report_s * 1.04
@@ -171,8 +181,7 @@
     }
 
     fn send_orders(&mut self, m: u32) {
-        let flight = self.next_flight;
-        self.next_flight += 1;
+        let flight = self.new_flight();
         let commands = self.take_outbox(m, Sent::Direct { flight });
         let starts = commands
             .iter()
@@ -185,15 +194,11 @@
                 })
             })
             .collect();
+        self.fly(m, flight, starts);
         let machine = &mut self.machines[m];
         if !machine.synced {
             machine.next_probe = self.now + 1.0;
         }
-        machine.flight = Some(Flight {
-            id: flight,
-            since: self.now,
-            starts,
-        });
         self.effects.push(Effect::Direct {
             machine: machine.name.clone(),
             address: machine.address.clone(),
--- a/src/errands.rs
+++ b/src/errands.rs
@@ -1,7 +1,6 @@
 //! What the core asks for and cannot do itself: talking to workers, the cloud and
 //! the state service.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +10,7 @@
 use crate::commands::{Command, Handle};
 use crate::coordination::core::{DirectOutcome, Effect, Input, RentOutcome};
 use crate::protocol::cloud::{self, MachineType};
-use crate::protocol::worker::{Report, orders_body};
+use crate::protocol::worker::{Command as WorkerCommand, Report, orders_body};
 use crate::shared::Shared;
 use crate::transport::budget::Urgency;
 use crate::transport::client::{Answer, CallError};
@@ -35,11 +34,7 @@
             flight,
             commands,
         } => {
-            let body = orders_body(token, Some(session), &commands);
-            let outcome = match address.parse() {
-                Ok(to) if shared.is_valid() => send_direct(shared, to, body).await,
-                _ => DirectOutcome::Unsent,
-            };
+            let outcome = send_direct(shared, token, &address, session, &commands).await;
             Some(Input::Direct {
                 machine,
                 flight,
@@ -55,16 +50,10 @@
             // Orders without an order: answered with a report as `/inspect` is, and where the
             // session is right the machine has learned the token with it. A new leader once
             // needed two exchanges with each machine before it could use it.
-            let body = orders_body(token, Some(session), &[]);
-            let outcome = match address.parse() {
-                Ok(to) if shared.is_valid() => {
-                    let asked = send_direct(shared, to, body);
-                    match tokio::time::timeout(INSPECT_DEADLINE, asked).await {
-                        Ok(DirectOutcome::Unknown) | Err(_) => DirectOutcome::Unsent,
-                        Ok(outcome) => outcome,
-                    }
-                }
-                _ => DirectOutcome::Unsent,
+            let asked = send_direct(shared, token, &address, session, &[]);
+            let outcome = match tokio::time::timeout(INSPECT_DEADLINE, asked).await {
+                Ok(DirectOutcome::Unknown) | Err(_) => DirectOutcome::Unsent,
+                Ok(outcome) => outcome,
             };
             Some(Input::Direct {
                 machine,
@@ -133,7 +122,18 @@
     }
 }
 
-async fn send_direct(shared: &Shared, to: SocketAddr, body: Vec<u8>) -> DirectOutcome {
+async fn send_direct(
+    shared: &Shared,
+    token: u64,
+    address: &str,
+    session: u64,
+    commands: &[WorkerCommand],
+) -> DirectOutcome {
+    let to = match address.parse() {
+        Ok(to) if shared.is_valid() => to,
+        _ => return DirectOutcome::Unsent,
+    };
+    let body = orders_body(token, Some(session), commands);
     let sent = shared
         .http
         .call(Method::POST, to, "/orders", body, DIRECT_DEADLINE);
--- a/tests/moves.rs
+++ b/tests/moves.rs
@@ -5,7 +5,7 @@
 use copperfield::protocol::JobId;
 use copperfield::protocol::peer::Order;
 use copperfield::settings::{Class, Tuning};
-use copperfield_standins::crew::{Crew, Saving};
+use copperfield_standins::crew::{Crew, Saving, fixed_fleet};
 use serde_json::{Value, json};
 
 const TYPES: &str = r#"{"flavors":[
@@ -19,12 +19,7 @@
 }
 
 fn tuning() -> Tuning {
-    let mut tuning = Tuning {
-        fleet_max: 1,
-        idle_return_s: 1e6,
-        deserted_return_s: 1e6,
-        ..Tuning::default()
-    };
+    let mut tuning = fixed_fleet();
     tuning.defragmentation.enabled = true;
     tuning
 }
--- a/tests/moves_random.rs
+++ b/tests/moves_random.rs
@@ -6,8 +6,7 @@
 use copperfield::bookkeeping::Snapshot;
 use copperfield::protocol::JobId;
 use copperfield::protocol::peer::Order;
-use copperfield::settings::Tuning;
-use copperfield_standins::crew::{Crew, Saving};
+use copperfield_standins::crew::{Crew, Saving, fixed_fleet};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -248,12 +247,7 @@
             "workers": {"report_s": 2.0, "lease_s": 10.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0, "cancel_s": 30.0},
             "state": {"rps": 200, "write_rps": 50, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 5},
             "limits": {"max_sockets": 1000}, "clock_error_ms": 25});
-        let mut tuning = Tuning {
-            fleet_max: 1,
-            idle_return_s: 1e6,
-            deserted_return_s: 1e6,
-            ..Tuning::default()
-        };
+        let mut tuning = fixed_fleet();
         tuning.defragmentation.enabled = true;
         tuning.defragmentation.again_after_s = 30.0;
         let mut crew = Crew::tuned(TYPES, cluster, 50, Snapshot::default(), tuning);
