--- /dev/null
+++ b/crates/http/tests/connections.rs
@@ -0,0 +1,241 @@
+//! Clients and servers that misbehave, on loopback: a port of the system's choosing each.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use copperfield_http::{Failure, Meter, Pool, Rules, Standing, serve};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+fn refusal(status: StatusCode, what: &str) -> Response<Bytes> {
+    let answer = Response::builder()
+        .status(status)
+        .header("retry-after", "1");
+    answer.body(Bytes::from(what.to_string())).expect("valid")
+}
+
+fn rules(meter: Meter) -> Rules {
+    Rules {
+        most: 500,
+        idle: Duration::from_millis(400),
+        whole: Duration::from_millis(600),
+        most_body: 64 * 1024,
+        spare: 4,
+        meter,
+        standing: |path| match path {
+            "/hello" => Standing::Worker,
+            _ => Standing::User,
+        },
+        refusal,
+    }
+}
+
+/// Answers with the length of the body, after a while where the path asks for it.
+async fn echo(request: Request<Full<Bytes>>) -> Response<Bytes> {
+    if request.uri().path() == "/slow" {
+        sleep(Duration::from_millis(300)).await;
+    }
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .expect("whole")
+        .to_bytes();
+    Response::new(Bytes::from(body.len().to_string()))
+}
+
+async fn server(meter: Meter) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(serve(listener, rules(meter), echo));
+    address
+}
+
+fn pool() -> Pool {
+    let second = Duration::from_secs(1);
+    Pool::new(second, second, 4, 100_000)
+}
+
+async fn raw(address: SocketAddr, text: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    stream.write_all(text).await.expect("sent");
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let _ = timeout(Duration::from_secs(2), read).await.expect("closed");
+    String::from_utf8(answer).expect("text")
+}
+
+#[tokio::test]
+async fn one_connection_serves_one_request_after_another() {
+    let meter = Meter::new(1 << 20);
+    let (address, pool) = (server(meter.clone()).await, pool());
+    for size in [0, 1, 1000, 20_000, 64 * 1024, 3] {
+        let reply = pool
+            .call(&Method::POST, address, "/hello", &vec![b'x'; size])
+            .await;
+        let reply = reply.expect("answered");
+        assert_eq!(
+            (reply.status, reply.body.as_ref()),
+            (200, size.to_string().as_bytes())
+        );
+    }
+    // One connection, and nothing else, is on the account.
+    let one = meter.held();
+    assert!(0 < one && one < 4096, "{one}");
+    drop(pool);
+    timeout(Duration::from_secs(1), async {
+        while meter.held() > 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await
+    .expect("nothing is left when it has closed");
+}
+
+/// Half a head, half a body, nothing at all, a body that is too long, two ways to read it.
+#[tokio::test]
+async fn what_is_not_a_request_is_answered_or_hung_up_on_in_time() {
+    let address = server(Meter::new(1 << 20)).await;
+    for (sent, answer) in [
+        ("", ""),
+        ("GET /work/wk-000001 HT", ""),
+        ("nonsense\r\n\r\n", "HTTP/1.1 400 Bad Request"),
+        (
+            "POST /work HTTP/1.1\r\ncontent-length: 10\r\n\r\nhalf",
+            "HTTP/1.1 408 Request Timeout",
+        ),
+        (
+            "POST /work HTTP/1.1\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nhello",
+            "HTTP/1.1 400 Bad Request",
+        ),
+        ("GET / HTTP/1.0\r\n\r\n", "HTTP/1.1 200 OK"),
+        (
+            "POST /work HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nconnection: close",
+        ),
+        (
+            "POST /work HTTP/1.1\r\nexpect: 100-continue\r\nconnection: close\r\ncontent-length: 1\r\n\r\n",
+            "HTTP/1.1 100 Continue",
+        ),
+    ] {
+        let got = raw(address, sent.as_bytes()).await;
+        let right = if answer.is_empty() {
+            got.is_empty()
+        } else {
+            got.starts_with(answer)
+        };
+        assert!(right, "{sent:?}: {got:?}");
+    }
+}
+
+/// A flood of large bodies at once, from users and workers, and clients that stall beside it:
+/// what is held stays on the account, users are told at once when to come back, workers are
+/// served, and afterwards all is as before.
+#[tokio::test]
+async fn a_flood_is_refused_at_once_and_workers_last() {
+    let meter = Meter::new(2 << 20);
+    let address = server(meter.clone()).await;
+    let mut stalled = Vec::new();
+    for _ in 0..50 {
+        let mut stream = TcpStream::connect(address).await.expect("accepted");
+        let half = b"POST /work HTTP/1.1\r\ncontent-length: 60000\r\n\r\nhalf";
+        stream.write_all(half).await.expect("sent");
+        stalled.push(stream);
+    }
+    let body = vec![b'x'; 60_000];
+    let mut flood = tokio::task::JoinSet::new();
+    for i in 0..100 {
+        let worker = i % 20 == 0;
+        let path = if worker { "/hello" } else { "/slow" };
+        // Reports are small.
+        let body = body[..if worker { 1000 } else { 60_000 }].to_vec();
+        flood.spawn(async move {
+            let began = std::time::Instant::now();
+            let reply = pool().call(&Method::POST, address, path, &body).await;
+            (path, reply.expect("answered").status, began.elapsed())
+        });
+    }
+    let mut most = 0;
+    let (mut served, mut refused, mut workers) = (0, 0, 0);
+    while let Some(done) = flood.join_next().await {
+        let (path, status, took) = done.expect("no panic");
+        most = most.max(meter.held());
+        match (path, status) {
+            ("/hello", 200) => workers += 1,
+            ("/slow", 200) => served += 1,
+            ("/slow", 503) => refused += 1,
+            other => panic!("{other:?} after {took:?}"),
+        }
+    }
+    assert!(most <= meter.most(), "{most} bytes of {}", meter.most());
+    assert!(refused > 50, "{served} served, {refused} refused");
+    assert_eq!(workers, 5, "no worker is refused");
+    drop(stalled);
+    sleep(Duration::from_millis(700)).await;
+    assert!(meter.held() < 64 * 1024, "{} bytes are left", meter.held());
+    let reply = pool().call(&Method::POST, address, "/work", &body).await;
+    assert_eq!(reply.expect("answered").status, 200);
+}
+
+/// A server of a few words.
+async fn says(words: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 1000]).await;
+            let _ = stream.write_all(words).await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn answers_are_read_as_they_are_framed() {
+    for (words, body) in [
+        (&b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody"[..], Some("body")),
+        (b"HTTP/1.1 200 OK\r\n\r\nto the end", Some("to the end")),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", Some("")),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsome\r\n3\r\nmor\r\n0\r\n\r\n",
+            Some("somemor"),
+        ),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nsome\r\n", None),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffffff0\r\n", None),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbo", None),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 100001\r\n\r\n", None),
+        (b"what?\r\n\r\n", None),
+        (b"", None),
+    ] {
+        let address = says(words).await;
+        let reply = pool().call(&Method::GET, address, "/", b"").await;
+        match (body, reply) {
+            (Some(body), Ok(reply)) => assert_eq!(reply.body, body.as_bytes()),
+            // It arrived, so it may have been carried out.
+            (None, Err(Failure::Unknown(_))) => {}
+            (_, other) => panic!("{:?}: {other:?}", String::from_utf8_lossy(words)),
+        }
+    }
+}
+
+/// One that was closed while it was idle is not used again, and the request goes out on
+/// another; where nobody listens it surely did not arrive.
+#[tokio::test]
+async fn a_connection_that_was_closed_meanwhile_is_not_used() {
+    let (address, pool) = (server(Meter::new(1 << 20)).await, pool());
+    for _ in 0..2 {
+        let reply = pool.call(&Method::GET, address, "/", b"").await;
+        assert_eq!(reply.expect("answered").status, 200);
+        // Longer than the server's patience.
+        sleep(Duration::from_millis(600)).await;
+    }
+    let nobody = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = nobody.local_addr().expect("bound");
+    drop(nobody);
+    let reply = pool.call(&Method::GET, address, "/", b"").await;
+    assert!(matches!(reply, Err(Failure::Unsent)));
+}
--- a/crates/standins/src/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -83,7 +83,7 @@
     /// The record of silent machines, as times of day.
     pub silence: BTreeMap<u32, Vec<(String, u64)>>,
     /// What the next leader has given its word for.
-    pub word_given_until: f64,
+    pub word_held_until: f64,
     pub saving: Saving,
     /// Machines that are gone for good.
     pub dead: BTreeSet<String>,
@@ -162,7 +162,7 @@
             roster: BTreeMap::new(),
             drains: BTreeMap::new(),
             silence: BTreeMap::new(),
-            word_given_until: 0.0,
+            word_held_until: 0.0,
             saving: Saving::InTime,
             dead: BTreeSet::new(),
             history: History::default(),
@@ -311,7 +311,7 @@
             roster: self.stored_roster(),
             drains: drains.collect(),
             silence: silence.collect(),
-            word_given_until: self.word_given_until,
+            word_held_until: self.word_held_until,
         };
         let config = Config {
             cluster: self.cluster.clone(),
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -10,6 +10,7 @@
 
 use copperfield::transport::client::{Answer, Http, Network};
 use copperfield::transport::server::{Incoming, Outgoing, serve};
+use copperfield_http::Meter;
 use hyper::Method;
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -20,6 +21,8 @@
 pub const NODES: usize = 3;
 /// Connections that each server takes.
 const MOST: usize = 1000;
+/// What their requests may hold.
+const MOST_BYTES: usize = 1 << 30;
 /// The machines live in steps of so many seconds.
 const STEP_S: f64 = 0.1;
 
@@ -95,8 +98,8 @@
     pub async fn run(&self) -> std::io::Result<()> {
         let (for_state, for_cloud) = (self.clone(), self.clone());
         tokio::select! {
-            result = serve(self.state, MOST, move |r| for_state.clone().answer_state(r)) => result,
-            result = serve(self.cloud, MOST, move |r| for_cloud.clone().answer_cloud(r)) => result,
+            result = serve(self.state, MOST, Meter::new(MOST_BYTES), move |r| for_state.clone().answer_state(r)) => result,
+            result = serve(self.cloud, MOST, Meter::new(MOST_BYTES), move |r| for_cloud.clone().answer_cloud(r)) => result,
             () = self.live() => Ok(()),
         }
     }
@@ -279,9 +282,12 @@
                 let address = free_address();
                 w.workers.insert(name.clone(), address);
                 let (this, served) = (self.clone(), name.clone());
-                tokio::spawn(serve(address, MOST, move |request| {
-                    this.clone().answer_worker(served.clone(), request)
-                }));
+                tokio::spawn(serve(
+                    address,
+                    MOST,
+                    Meter::new(MOST_BYTES),
+                    move |request| this.clone().answer_worker(served.clone(), request),
+                ));
             }
             let (at, node) = due.get_mut(&name).expect("inserted");
             let changed = w.site.machines[&name].changed;
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -133,7 +133,7 @@
     pub silence: Vec<StoredSilence>,
     /// Until when an earlier leader may have answered on this node's word, on the clock of
     /// the core.
-    pub word_given_until: f64,
+    pub word_held_until: f64,
 }
 
 impl Snapshot {
--- a/src/bookkeeping/recovery.rs
+++ b/src/bookkeeping/recovery.rs
@@ -39,7 +39,7 @@
     let unix_ms = || shared.unix_ms();
     let mut snapshot = Snapshot {
         silence: read_silence(shared).await?,
-        word_given_until: shared.word_given_until_s(),
+        word_held_until: shared.word_held_until_s(),
         ..Snapshot::default()
     };
     let (pages, _) = store.list(ROSTER).await?;
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -109,7 +109,7 @@
         for page in snapshot.roster {
             core.restore_roster(page);
         }
-        core.restore_silence(snapshot.silence, snapshot.word_given_until);
+        core.restore_silence(snapshot.silence, snapshot.word_held_until);
         for ix in core.jobs.indices() {
             core.finish_if_done(ix);
         }
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -34,7 +34,7 @@
 
     /// Takes the promise of earlier leaders over, and believes what they say of silent
     /// machines, but for answers that went out on this node's own word.
-    pub(super) fn restore_silence(&mut self, stored: Vec<StoredSilence>, word_given_until: Time) {
+    pub(super) fn restore_silence(&mut self, stored: Vec<StoredSilence>, word_held_until: Time) {
         let now = self.now;
         let bounded = self.clocks_are_bounded();
         let mut proved = 0;
@@ -46,7 +46,7 @@
         {
             let at = |(name, age): (String, u64)| {
                 let at = if bounded {
-                    (now - age as f64 / 1000.0).max(word_given_until)
+                    (now - age as f64 / 1000.0).max(word_held_until)
                 } else {
                     now
                 };
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,6 +9,7 @@
 use copperfield::settings::{Log, LogFormat, Settings, Tuning, tuning_beside};
 use copperfield::transport::client::Http;
 use copperfield::transport::server::serve;
+use copperfield_http::Meter;
 use tracing::level_filters::LevelFilter;
 use tracing_subscriber::Layer;
 use tracing_subscriber::filter::Targets;
@@ -158,19 +159,32 @@
     }
 }
 
+/// Bytes that connections and requests under way may hold: what the platform gives, less
+/// the program and what the core keeps of a fleet that fills the sockets.
+fn for_clients(settings: &Settings) -> usize {
+    const MIB: f64 = 1024.0 * 1024.0;
+    let limits = &settings.cluster.limits;
+    let least = 4.0 * MIB;
+    if limits.memory_mb == 0.0 {
+        return (64.0 * MIB) as usize;
+    }
+    ((limits.memory_mb * MIB * 0.25).max(least)) as usize
+}
+
 async fn run(settings: Settings, tuning: Tuning) -> std::io::Result<()> {
     let public = settings.public_addr;
     let peers = settings.peer_bind;
     // The rest is for what the node calls itself: the workers, above all.
     let most = settings.cluster.limits.max_sockets;
     let (for_public, for_peers) = (most * 6 / 10, most / 20);
+    let meter = Meter::new(for_clients(&settings));
     let network = Arc::new(Http::default());
     let (service, owner) = Service::start(settings, tuning, network, rand::random());
     let for_users = service.clone();
-    let public = serve(public, for_public, move |request| {
+    let public = serve(public, for_public, meter.clone(), move |request| {
         for_users.clone().public(request)
     });
-    let peers = serve(peers, for_peers, move |request| {
+    let peers = serve(peers, for_peers, meter, move |request| {
         service.clone().peer(request)
     });
     // Whichever of these ends, the process is of no use any more.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -127,6 +127,9 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct Limits {
     pub max_sockets: usize,
+    /// What the process may hold, 0 if the platform does not say.
+    #[serde(default)]
+    pub memory_mb: f64,
 }
 
 impl Settings {
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -107,10 +107,12 @@
         self.start.elapsed().as_secs_f64()
     }
 
-    /// Until when answers of an earlier leader may have gone out on this node's word: a
-    /// promise, or one that was made before a restart. On the clock of [`Self::now_s`].
-    pub fn word_given_until_s(&self) -> f64 {
-        self.promised_until.load(Ordering::Relaxed) as f64 / 1000.0
+    /// Until when answers may have gone out on the word of all nodes: this one's promise, one
+    /// that it made before a restart, or its own leading on the word of the others. On the
+    /// clock of [`Self::now_s`].
+    pub fn word_held_until_s(&self) -> f64 {
+        let promised = self.promised_until.load(Ordering::Relaxed);
+        promised.max(self.word_until.load(Ordering::Relaxed)) as f64 / 1000.0
     }
 
     /// This leader acts on the word of all others until then.
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -6,11 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, Uri};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use copperfield_http::{Failure, Pool, Reply};
+use hyper::Method;
 use thiserror::Error;
 use tokio::time::{Instant, timeout};
 
@@ -34,22 +31,20 @@
 /// 512 KiB at most, and memory is short.
 const MAX_RESPONSE: usize = 4 * 1024 * 1024;
 
-#[derive(Clone)]
 pub struct Http {
-    client: Client<HttpConnector, Full<Bytes>>,
+    pool: Pool,
 }
 
 impl Default for Http {
     fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(800)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(15))
-            .pool_max_idle_per_host(4)
-            .build(connector);
-        Self { client }
+        Self {
+            pool: Pool::new(
+                Duration::from_millis(800),
+                Duration::from_secs(15),
+                4,
+                MAX_RESPONSE,
+            ),
+        }
     }
 }
 
@@ -84,31 +79,14 @@
         body: Vec<u8>,
         deadline: Duration,
     ) -> Exchange<'_> {
-        let uri = format!("http://{to}{path}");
+        let path = path.to_string();
         Box::pin(async move {
-            let uri: Uri = uri.parse().map_err(|_| CallError::Unsent)?;
-            let mut request = Request::builder().method(method).uri(uri);
-            if !body.is_empty() {
-                request = request.header("content-type", "application/json");
-            }
-            let request = request
-                .body(Full::new(Bytes::from(body)))
-                .map_err(|_| CallError::Unsent)?;
             let exchange = async {
-                let response = self.client.request(request).await.map_err(|e| {
-                    if e.is_connect() {
-                        CallError::Unsent
-                    } else {
-                        CallError::Unknown(e.to_string())
-                    }
-                })?;
-                let status = response.status().as_u16();
-                let body = Limited::new(response.into_body(), MAX_RESPONSE)
-                    .collect()
-                    .await
-                    .map_err(|e| CallError::Unknown(e.to_string()))?
-                    .to_bytes();
-                Ok(Answer { status, body })
+                match self.pool.call(&method, to, &path, &body).await {
+                    Ok(Reply { status, body }) => Ok(Answer { status, body }),
+                    Err(Failure::Unsent) => Err(CallError::Unsent),
+                    Err(Failure::Unknown(why)) => Err(CallError::Unknown(why)),
+                }
             };
             within(deadline, exchange).await
         })
