--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -283,12 +283,10 @@
                 let address = free_address();
                 w.workers.insert(name.clone(), address);
                 let (this, served) = (self.clone(), name.clone());
-                tokio::spawn(serve(
-                    address,
-                    MOST,
-                    Meter::new(MOST_BYTES),
-                    move |request| this.clone().answer_worker(served.clone(), request),
-                ));
+                tokio::spawn(async move {
+                    let answer = move |r| this.clone().answer_worker(served.clone(), r);
+                    serve(bind(address).await?, MOST, Meter::new(MOST_BYTES), answer).await
+                });
             }
             let (at, node) = due.get_mut(&name).expect("inserted");
             let changed = w.site.machines[&name].changed;
