--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod crew;
 pub mod history;
 pub mod loopback;
+pub mod served;
 pub mod site;
 pub mod state;
--- /dev/null
+++ b/crates/standins/src/served.rs
@@ -0,0 +1,130 @@
+//! How much of what was asked for was served, by class and by team.
+
+use std::collections::BTreeMap;
+
+use crate::history::{History, What};
+
+/// A job that was accepted, and by when its tasks should have been served.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// As in `wk-000412`.
+    pub job: String,
+    pub class: String,
+    pub team: String,
+    pub tasks: u32,
+    /// A service: what counts is the time for which its replicas run.
+    pub service: bool,
+    /// From when on, in seconds: of a service, some time after it was submitted.
+    pub from: f64,
+    /// The end of the day, or when the job was cancelled.
+    pub until: f64,
+}
+
+/// What became of the tasks of a class or a team.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Served {
+    /// Tasks, those of services aside, and how many of them have started and completed.
+    pub tasks: u32,
+    pub started: u32,
+    pub done: u32,
+    /// Seconds for which replicas were wanted, and for which they ran.
+    pub wanted_s: f64,
+    pub up_s: f64,
+}
+
+impl Served {
+    /// The least of the shares of tasks started, tasks done and replica time: 1 is all.
+    pub fn least(&self) -> f64 {
+        let share = |part: f64, of: f64| if of > 0.0 { part / of } else { 1.0 };
+        let tasks = f64::from(self.tasks);
+        share(f64::from(self.started), tasks)
+            .min(share(f64::from(self.done), tasks))
+            .min(share(self.up_s, self.wanted_s))
+    }
+}
+
+/// By name, which is `class …` or `team …`.
+pub fn served(history: &History, asked: &[Asked]) -> BTreeMap<String, Served> {
+    // Of each task: when it got on a machine and left it again, and whether it completed.
+    let mut stays: BTreeMap<&str, (Vec<(f64, f64)>, bool)> = BTreeMap::new();
+    for e in history.events() {
+        let (stays, done) = stays.entry(e.task.as_str()).or_default();
+        match (&e.what, stays.last_mut()) {
+            (What::Starts, last) => {
+                // Its machine was gone before, which nobody saw.
+                if let Some((_, until)) = last.filter(|(_, until)| until.is_infinite()) {
+                    *until = e.at;
+                }
+                stays.push((e.at, f64::INFINITY));
+            }
+            (_, Some((_, until))) => *until = e.at,
+            (_, None) => {}
+        }
+        *done |= e.what == What::Done;
+    }
+    let mut all: BTreeMap<String, Served> = BTreeMap::new();
+    for asked in asked {
+        let mut own = Served::default();
+        for task in 0..asked.tasks {
+            let name = format!("{}/{task}", asked.job);
+            let nowhere = (Vec::new(), false);
+            let (stays, done) = stays.get(name.as_str()).unwrap_or(&nowhere);
+            if asked.service {
+                let within = |(from, until): &(f64, f64)| {
+                    (until.min(asked.until) - from.max(asked.from)).max(0.0)
+                };
+                own.wanted_s += (asked.until - asked.from).max(0.0);
+                own.up_s += stays.iter().map(within).sum::<f64>();
+            } else {
+                own.tasks += 1;
+                own.started += u32::from(!stays.is_empty());
+                own.done += u32::from(*done);
+            }
+        }
+        for name in [
+            format!("class {}", asked.class),
+            format!("team {}", asked.team),
+        ] {
+            let sum = all.entry(name).or_default();
+            sum.tasks += own.tasks;
+            sum.started += own.started;
+            sum.done += own.done;
+            sum.wanted_s += own.wanted_s;
+            sum.up_s += own.up_s;
+        }
+    }
+    all
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A figure that is always 1 would guard nothing.
+    #[test]
+    fn what_was_not_served_is_missing() {
+        let mut history = History::default();
+        let mut note = |at, task: &str, what| history.note(at, task, at as u64, "m", what);
+        note(1.0, "a/0", What::Starts);
+        note(3.0, "a/0", What::Done);
+        note(2.0, "a/1", What::Starts);
+        note(5.0, "a/1", What::Leaves);
+        note(1.0, "s/0", What::Starts);
+        note(6.0, "s/0", What::Leaves);
+        note(8.0, "s/0", What::Starts);
+        let asked = |job: &str, service, tasks| Asked {
+            job: job.into(),
+            class: job.into(),
+            team: "t".into(),
+            tasks,
+            service,
+            from: 2.0,
+            until: 12.0,
+        };
+        let all = served(&history, &[asked("a", false, 4), asked("s", true, 1)]);
+        let (a, s) = (all["class a"], all["class s"]);
+        assert_eq!((a.tasks, a.started, a.done, a.least()), (4, 2, 1, 0.25));
+        assert_eq!((s.wanted_s, s.up_s, s.least()), (10.0, 8.0, 0.8));
+        assert_eq!(all["team t"].least(), 0.25);
+    }
+}
