Many unheard machines are returned once surely late; crates/shares: grants, moves and their model

After a crash of all beside a loss everything older than the election waited 26.9 s, a lease, for machines that nobody had heard: of more than 5% none was returned. Ruled out: sooner for many, as a cut looks the same.

--- a/crates/leadership/tests/model.rs
+++ b/crates/leadership/tests/model.rs
@@ -306,6 +306,7 @@
                 all.push((what, w));
             }
         };
+        let mistake = self.mistake;
         then("time passes", &|w| {
             w.now += 1;
             w.now <= HORIZON
@@ -505,7 +506,9 @@
                     *founded = Some(version);
                 } else if !*missing {
                     if !absent {
-                        node.own.end_leaderless();
+                        if mistake != Mistake::VouchesOverACancellation {
+                            node.own.end_leaderless();
+                        }
                         node.busy = Busy::No;
                         return true;
                     }
--- /dev/null
+++ b/crates/shares/src/message.rs
@@ -0,0 +1,54 @@
+//! What a holder and the leader say to each other.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+/// What a holder tells the leader, a few times a second. It asks for a grant by it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
+pub struct Statement {
+    /// Drawn by each process: whoever is asked knows by it that a holder started anew.
+    pub process: u64,
+    /// Counts the statements of a process: a later one is newer.
+    pub number: u64,
+    /// Under which token it has the share that it speaks of, 0 for none.
+    pub token: u64,
+    /// The last change to its share that it has taken.
+    pub version: u64,
+    /// Machines answered since the statement that was last acknowledged, with the age of the
+    /// answered report, in ms: when it came in, not when the answer left.
+    pub answered: Vec<(u32, u64)>,
+    /// Machines that it has given up since.
+    pub left: Vec<Left>,
+}
+
+/// A machine that a holder answers no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
+pub struct Left {
+    pub machine: u32,
+    /// The change that told it to.
+    pub version: u64,
+    /// How long ago the last report that it answered had come in, if it answered any.
+    pub answered: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
+pub enum Change {
+    /// Answer this machine from now on.
+    Take(u32),
+    /// Answer it no more, and send it to this node, if to any.
+    Leave(u32, Option<u32>),
+}
+
+/// The leader's answer to a statement.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
+pub struct Grant {
+    /// Of the statement that it answers.
+    pub process: u64,
+    pub number: u64,
+    pub token: u64,
+    /// A share of an earlier version is given up whole: it was another process's.
+    pub base: u64,
+    /// How long the holder may answer, counted from when it made the statement, in ms.
+    pub for_ms: u64,
+    /// What it has not taken yet, in order.
+    pub changes: Vec<(u64, Change)>,
+}
--- a/crates/standins/src/served.rs
+++ b/crates/standins/src/served.rs
@@ -43,10 +43,13 @@
     }
 }
 
+/// When a task got on a machine and when it left it.
+type Stays = Vec<(f64, f64)>;
+
 /// By name, which is `class …` or `team …`.
 pub fn served(history: &History, asked: &[Asked]) -> BTreeMap<String, Served> {
     // Of each task: when it got on a machine and left it again, and whether it completed.
-    let mut stays: BTreeMap<&str, (Vec<(f64, f64)>, bool)> = BTreeMap::new();
+    let mut stays: BTreeMap<&str, (Stays, bool)> = BTreeMap::new();
     for e in history.events() {
         let (stays, done) = stays.entry(e.task.as_str()).or_default();
         match (&e.what, stays.last_mut()) {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -424,9 +424,8 @@
     pub(super) fn give_up_silent(&mut self) {
         // Reports come a quarter early or late. A machine that is not early is
         // asked, so that a late one is known to be silent at once.
-        let report_s = self.config.cluster.workers.report_s;
         let expected = self.late_after_s();
-        let latest = report_s * 1.25;
+        let latest = self.latest_report_s();
         let mut silent = Vec::new();
         let mut heard = 0;
         for m in self.machines.indices() {
@@ -441,13 +440,11 @@
                 silent.push((m, at));
             }
         }
-        // When many are silent at once the network is at fault, perhaps our own
-        // part of it; they may all be well.
         let late = silent
             .iter()
             .filter(|(_, at)| self.now - at > latest)
             .count();
-        let network = late as f64 > 0.4 * (f64::from(heard) + (silent.len() - late) as f64);
+        let network = is_the_network(late, heard + silent.len() - late);
         let (mut latest_heard, mut questions_left) = (None, None);
         for (m, at) in silent {
             let machine = &self.machines[m];
@@ -463,7 +460,7 @@
                 let latest = latest_heard.get_or_insert_with(|| self.latest_heard());
                 self.zone_is_heard(latest, m, machine.unanswered_at)
             };
-            if asked && !network && self.now - at > latest + 0.1 {
+            if asked && !network && self.now - at > latest {
                 tracing::warn!(
                     machine = machine.name,
                     "silent: returned for its replicas' sake"
@@ -483,9 +480,13 @@
     /// A few recorded machines have not answered a new leader while their zones
     /// have: most are spot machines that were taken. Returning them proves that
     /// nothing is there, and what they hold back starts seconds earlier.
+    /// Many wait as long as a silent machine with replicas does: what they hold back is all
+    /// that is older than the election, 27 s long after all controllers had ended in a loss.
     pub(super) fn give_up_unheard(&mut self, unheard: &[u32]) {
-        let few = 1 + self.machines.iter().count() / 20;
-        if unheard.len() > few {
+        let all = self.machines.iter().count();
+        let many = unheard.len() > 1 + all / 20;
+        let early = self.now - self.listening_since < self.latest_report_s();
+        if many && (early || is_the_network(unheard.len(), all - unheard.len())) {
             return;
         }
         let since = Some(self.elected_at + 0.5);
@@ -507,6 +508,11 @@
         self.send_returns();
     }
 
+    /// Reports come a quarter early or late, and take their time.
+    fn latest_report_s(&self) -> f64 {
+        self.config.cluster.workers.report_s * 1.25 + 0.1
+    }
+
     /// Whether machines of the same zone were heard since. Where none is, the
     /// network is cut, not the machine hung: its replicas serve on until their
     /// lease runs out, and returning it would only end them sooner. A leader
@@ -635,3 +641,9 @@
         }
     }
 }
+
+/// When many are silent at once the network is at fault, perhaps our own part of it; they may
+/// all be well.
+fn is_the_network(silent: usize, heard: usize) -> bool {
+    silent as f64 > 0.4 * heard as f64
+}
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -481,3 +481,33 @@
         "what surely fits starts at once"
     );
 }
+
+/// After all controllers had ended beside a loss of many machines, everything older than the
+/// election waited a whole lease for those that were not yet on the record of silent ones: only
+/// a few were ever returned unheard. Where most of a zone is silent the network may be at fault,
+/// and nothing is returned.
+#[test]
+fn many_unheard_machines_hold_the_rest_back_no_longer_than_a_silent_one() {
+    for (lost, returned) in [(4, true), (14, false)] {
+        let mut crew = site(&[("a", "small", 12), ("b", "small", 12)]);
+        let job = crew.submit(&service(1, 16));
+        crew.run(10.0);
+        assert_eq!(tasks_placed(&crew, job), 16);
+        for i in 0..lost {
+            let zone = ["a", "b"][i % 2];
+            crew.die(&format!("{zone}-small-{}", i / 2));
+        }
+        crew.next_leader();
+        crew.run(5.5);
+        assert_eq!(crew.returned.len(), if returned { lost } else { 0 });
+        let up = tasks_placed(&crew, job);
+        assert_eq!(
+            up == 16,
+            returned,
+            "{up} of 16 after {lost} machines were lost"
+        );
+        crew.run(8.0);
+        let least = if returned { 16 } else { 15 };
+        assert!(tasks_placed(&crew, job) >= least, "the leases have run out");
+    }
+}
