After a crash of all no TTL is waited out for words that bind nobody

A process that starts may have given its word just before, so it did not campaign for a TTL: where all had ended that is 2.5 s after the last restart. A word binds a leader that lives; if every other node says that it does not lead, none does, and no word is given while they are asked. Where all restarted lately nobody gives way to a node that remembers more, for there is none: half a second with machines on record.

The model asks with three nodes; one of the others being enough and words given meanwhile are planted and found. Simulated: elected within 0.5 s of the restart of all, 2.5 s later than they ended; it was a TTL more.

--- a/crates/leadership/src/lib.rs
+++ b/crates/leadership/src/lib.rs
@@ -19,8 +19,10 @@
     leading: u64,
     /// Until when this node has promised not to campaign.
     promised_until: u64,
-    /// A transaction on the leader key is out, or what became of it is not known yet.
+    /// A campaign is out, or what became of it is not known yet.
     campaigning: bool,
+    /// Whether it is being found out that older words of this node bind nobody.
+    asking: bool,
     /// Cancellations that this node is storing for want of a leader.
     leaderless: u32,
 }
@@ -36,6 +38,7 @@
             leading: 0,
             promised_until: ttl_ms,
             campaigning: false,
+            asking: false,
             leaderless: 0,
         }
     }
@@ -112,7 +115,8 @@
     /// Vouches for a leader that cannot renew: the state service refuses this node too
     /// (`refused`), and it will not campaign for one TTL.
     pub fn vouch(&mut self, now: u64, refused: bool) -> bool {
-        let free = self.leads(0) && !self.campaigning && self.leaderless == 0 && refused;
+        let free =
+            self.is_idle() && !self.campaigning && !self.asking && self.leaderless == 0 && refused;
         if free {
             self.promised_until = self.promised_until.max(now + self.ttl);
         }
@@ -126,10 +130,25 @@
         self.campaigning = campaigning;
     }
 
-    /// The key of an earlier process of this node is gone, removed by this one, and that
-    /// process was known to lead. While the key stood nobody else was valid, and whoever was
-    /// before it has lapsed: so whatever this node promised until now binds nobody.
-    pub fn buried(&mut self, now: u64) {
+    // ---- words that bind nobody ----
+
+    /// Whether this process does not lead, not even suspended: then it acts on nobody's word,
+    /// and will on none that was given until now.
+    pub fn is_idle(&self) -> bool {
+        self.leads(0)
+    }
+
+    /// Kept up while it is found out whether older words bind anybody: none is given meanwhile.
+    pub fn set_asking(&mut self, asking: bool) {
+        self.asking = asking;
+    }
+
+    /// Whatever this node promised until now, and its earlier processes did, binds nobody. Either
+    /// the key of an earlier process of it is gone, removed by this one, and that process was
+    /// known to lead: while the key stood nobody else was valid, and whoever was before it has
+    /// lapsed. Or every other node has said since [`Self::set_asking`] that it is idle: a word
+    /// binds a leader that lives.
+    pub fn released(&mut self, now: u64) {
         self.promised_until = self.promised_until.min(now);
     }
 
--- a/crates/leadership/tests/model.rs
+++ b/crates/leadership/tests/model.rs
@@ -31,6 +31,10 @@
     VouchesWhileItBuries,
     /// Words are given while a campaign is out.
     VouchesWhileItCampaigns,
+    /// It is enough that one of the others is idle.
+    AsksOneOfTheOthers,
+    /// Words are given while the others are asked.
+    VouchesWhileItAsks,
     /// An earlier campaign of the process that lands late is taken for the one that is out.
     TakesAnyCampaignForThis,
     /// A leader that lapsed is brought back by words.
@@ -105,6 +109,10 @@
     },
     /// Waits for the removal of such a key.
     Buries,
+    /// Asks the others whether they are idle; those that have said so.
+    Asks {
+        idle: u8,
+    },
     /// Has read this of the two keys that guard a cancellation.
     Reads {
         founded: Option<u8>,
@@ -173,7 +181,7 @@
             outage: false,
             wrongly_cancelled: false,
             crashes: 3,
-            troubles: 2,
+            troubles: 3,
             campaigns: CAMPAIGNS,
             cancels: 1,
         }
@@ -247,9 +255,9 @@
         match (&node.busy, sent.what) {
             (Busy::Buries, What::Bury { .. }) => {
                 if held == Some(true) {
-                    node.own.buried(at);
+                    node.own.released(at);
                 }
-                node.own.set_campaigning(false);
+                node.own.set_asking(false);
                 node.busy = Busy::No;
             }
             (Busy::Cancels, What::Cancel { .. }) => {
@@ -281,16 +289,24 @@
         let mistake = self.mistake;
         let node = &mut self.nodes[n];
         let at = node.at(now);
-        let blind = match mistake {
-            Mistake::VouchesWhileItBuries => node.busy == Busy::Buries,
-            Mistake::VouchesWhileItCampaigns => matches!(node.busy, Busy::Campaigns { .. }),
-            _ => false,
+        // A flag that is not kept up, for as long as it takes to give a word.
+        let (buries, campaigns, asks) = match (&node.busy, mistake) {
+            (Busy::Buries, Mistake::VouchesWhileItBuries) => (true, false, false),
+            (Busy::Campaigns { .. }, Mistake::VouchesWhileItCampaigns) => (false, true, false),
+            (Busy::Asks { .. }, Mistake::VouchesWhileItAsks) => (false, false, true),
+            _ => (false, false, false),
         };
-        if blind {
+        if buries || asks {
+            node.own.set_asking(false);
+        }
+        if campaigns {
             node.own.set_campaigning(false);
         }
         let vouched = node.own.vouch(at, refused);
-        if blind {
+        if buries || asks {
+            node.own.set_asking(true);
+        }
+        if campaigns {
             node.own.set_campaigning(true);
         }
         vouched
@@ -356,7 +372,7 @@
                 node.born = now;
                 node.own = Leadership::new(TTL, 0);
                 if w.mistake == Mistake::ForgetsItsWordInARestart {
-                    node.own.buried(0);
+                    node.own.released(0);
                 }
                 node.busy = Busy::No;
                 node.asked = None;
@@ -402,15 +418,54 @@
                     return false;
                 };
                 let node = &mut w.nodes[n];
-                node.own.set_campaigning(true);
+                node.own.set_asking(true);
                 node.busy = Busy::Buries;
                 if w.mistake == Mistake::BuriesUnheard {
                     let at = node.at(w.now);
-                    node.own.buried(at);
+                    node.own.released(at);
                 }
                 w.send(n, What::Bury { version });
                 true
             });
+            then(of!(n, "asks whether all are idle"), &|w| {
+                let now = w.now;
+                let node = &mut w.nodes[n];
+                let promised = node.own.has_promised(node.at(now));
+                let free = node.own.leads(0) && node.busy == Busy::No && promised;
+                node.own.set_asking(free);
+                node.busy = Busy::Asks { idle: 0 };
+                free
+            });
+            for other in (0..self.nodes.len()).filter(|&o| o != n) {
+                then(of!(other, "is idle"), &|w| {
+                    let says = w.nodes[other].own.is_idle();
+                    let all = (1u8 << w.nodes.len()) - 1 - (1 << n);
+                    let one = w.mistake == Mistake::AsksOneOfTheOthers;
+                    let now = w.now;
+                    let node = &mut w.nodes[n];
+                    let at = node.at(now);
+                    let Busy::Asks { idle } = &mut node.busy else {
+                        return false;
+                    };
+                    let more = says && *idle & (1 << other) == 0;
+                    *idle |= 1 << other;
+                    if more && (*idle == all || one) {
+                        node.own.released(at);
+                        node.own.set_asking(false);
+                        node.busy = Busy::No;
+                    }
+                    more
+                });
+            }
+            then(of!(n, "asks in vain"), &|w| {
+                let node = &mut w.nodes[n];
+                let asks = matches!(node.busy, Busy::Asks { .. });
+                if asks {
+                    node.own.set_asking(false);
+                    node.busy = Busy::No;
+                }
+                asks
+            });
             then(of!(n, "renews"), &|w| {
                 let (now, served) = (w.now, w.served(n));
                 let node = &mut w.nodes[n];
@@ -687,6 +742,32 @@
                 ],
             ],
         ),
+        (
+            AsksOneOfTheOthers,
+            &[
+                &LEADS,
+                &ALL_REFUSED,
+                &["node 2 is refused alone", "time passes"],
+                &ON_ITS_WORD,
+                &["node 2 vouches"],
+                &FORGETS,
+                &["time passes", "the lease of the key ends"],
+            ],
+        ),
+        (
+            VouchesWhileItAsks,
+            &[
+                &[
+                    "node 0 campaigns",
+                    "node 1 asks whether all are idle",
+                    "node 0 is idle",
+                ],
+                &LEADS[1..],
+                &ALL_REFUSED,
+                &["node 2 is refused alone", "time passes"],
+                &["node 0 asks all others", "node 2 vouches"],
+            ],
+        ),
         (IsVouchedBack, &[&LEADS, &LAPSED, &CANCELS, &FORGETS]),
         (
             GuardsByTheMissingKey,
@@ -722,9 +803,18 @@
     ];
     for (mistake, parts) in cases {
         let history = parts.concat();
-        let search = |mistake| explore(after(World::new(2, mistake), &history), 120_000);
-        search(None).unwrap_or_else(|h| told(&h));
-        let found = search(*mistake);
+        let nodes = match mistake {
+            AsksOneOfTheOthers | VouchesWhileItAsks => 3,
+            _ => 2,
+        };
+        let from = |mistake| after(World::new(nodes, mistake), &history);
+        explore(from(None), 60_000).unwrap_or_else(|h| told(&h));
+        let mut wrong = from(*mistake);
+        if *mistake == VouchesWhileItAsks {
+            // What the program as it is would not do.
+            wrong = after(wrong, &["node 1 vouches"]);
+        }
+        let found = explore(wrong, 600_000);
         let found = found.expect_err(&format!("{mistake:?} is not found"));
         println!("{mistake:?}: {found:?}");
     }
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -24,6 +24,8 @@
     Ping,
     /// What an operator asks, of the leader.
     Operate(Order),
+    /// Do you not lead? Then no word that was given until now binds you.
+    Idle,
 }
 
 /// What an operator asks.
@@ -65,6 +67,10 @@
         status: u16,
         body: Vec<u8>,
     },
+    /// It does not, and its process has lived for so long.
+    Idle {
+        up_ms: u64,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -26,6 +26,8 @@
 use crate::transport::budget::Urgency;
 
 const FOLLOW_EVERY: Duration = Duration::from_millis(300);
+/// A node that is there answers within a few milliseconds.
+const ASK_IDLE: Duration = Duration::from_millis(300);
 /// In the value of [`FOUNDED`]: the last token whose leader knew that it led.
 const LED: &str = "led";
 /// Longer than another node takes to see that there is no leader, and to win.
@@ -56,7 +58,8 @@
                 // A little apart, so that the nodes do not all ask for a lease at once.
                 let jitter = shared.random(40);
                 sleep(Duration::from_millis(jitter)).await;
-                if cannot_use_the_record(&shared).await {
+                let others = ask_whether_idle(&shared).await;
+                if cannot_use_the_record(&shared, others).await {
                     sleep(GIVE_WAY).await;
                 }
                 shared.set_campaigning(true);
@@ -80,12 +83,35 @@
     }
 }
 
+/// For how long the other nodes have lived, in ms, if all say that they are idle; asked if this
+/// node may have promised not to campaign. Then there is no leader that could act on the promise:
+/// a word binds one that lives. After a crash of all a TTL was once waited out from the restart.
+async fn ask_whether_idle(shared: &Shared) -> Option<Vec<u64>> {
+    if !shared.has_promised() {
+        return None;
+    }
+    shared.set_asking(true);
+    let idle = |reply| match reply {
+        PeerReply::Idle { up_ms } => Some(up_ms),
+        _ => None,
+    };
+    let lived = all_answer(shared, &PeerRequest::Idle, ASK_IDLE, idle).await;
+    if lived.is_some() {
+        shared.released();
+    }
+    shared.set_asking(false);
+    lived
+}
+
 /// Whether this node restarted so lately that it must take silent machines as answered since,
 /// and there are some. Another may know better: elected 6 s after its restart in the cut of a
-/// zone, a node once started the leases of 396 machines anew.
-async fn cannot_use_the_record(shared: &Shared) -> bool {
+/// zone, a node once started the leases of 396 machines anew. `others`: for how long they have
+/// lived, in ms, as far as is known; if all restarted lately too there is nobody to give way to.
+async fn cannot_use_the_record(shared: &Shared, others: Option<Vec<u64>>) -> bool {
     let lease_s = shared.settings.cluster.workers.lease_s;
-    if shared.now_s() > lease_s || shared.settings.others.is_empty() {
+    let lately = |up_ms: &u64| *up_ms as f64 / 1000.0 <= lease_s;
+    let all_lately = others.is_some_and(|others| others.iter().all(lately));
+    if shared.now_s() > lease_s || all_lately {
         return false;
     }
     let named = |value: &serde_json::Value| value.as_object().is_some_and(|o| !o.is_empty());
@@ -111,14 +137,13 @@
             key: LEADER.to_string(),
         }],
     };
-    // No word is given while it may be carried out.
-    shared.set_campaigning(true);
+    shared.set_asking(true);
     let dropped = shared.store.commit(&drop, Urgency::Renewal, false).await;
     if dropped.is_ok() {
-        shared.buried();
+        shared.released();
         tracing::info!(token, "the key of this node's last process is removed");
     }
-    shared.set_campaigning(false);
+    shared.set_asking(false);
     dropped.is_ok()
 }
 
@@ -229,24 +254,28 @@
 }
 
 async fn all_vouch(shared: &Shared, token: u64, deadline: Duration) -> bool {
+    let vouched = |reply| matches!(reply, PeerReply::Vouched).then_some(());
+    let request = PeerRequest::Vouch { token };
+    let all = all_answer(shared, &request, deadline, vouched).await;
+    all.is_some()
+}
+
+/// What is wanted of each reply, if all other nodes give one that has it.
+async fn all_answer<T>(
+    shared: &Shared,
+    request: &PeerRequest,
+    deadline: Duration,
+    wanted: impl Fn(PeerReply) -> Option<T>,
+) -> Option<Vec<T>> {
     let mut asked = tokio::task::JoinSet::new();
     for peer in &shared.settings.others {
         let http = shared.http.clone();
-        let address = peer.peer_addr;
-        asked.spawn(async move {
-            call_peer(
-                http.as_ref(),
-                address,
-                &PeerRequest::Vouch { token },
-                deadline,
-            )
-            .await
-        });
+        let (address, request) = (peer.peer_addr, request.clone());
+        asked.spawn(async move { call_peer(http.as_ref(), address, &request, deadline).await });
     }
+    let mut all = Vec::new();
     while let Some(reply) = asked.join_next().await {
-        if !matches!(reply, Ok(Some(PeerReply::Vouched))) {
-            return false;
-        }
+        all.push(wanted(reply.ok()??)?);
     }
-    true
+    Some(all)
 }
--- a/src/service.rs
+++ b/src/service.rs
@@ -587,6 +587,10 @@
                 }
             }
             PeerRequest::Ping => PeerReply::Pong,
+            PeerRequest::Idle if self.shared.is_idle() => PeerReply::Idle {
+                up_ms: (self.shared.now_s() * 1000.0) as u64,
+            },
+            PeerRequest::Idle => PeerReply::Unable,
             PeerRequest::Operate(order) => {
                 let asked = timeout(CANCEL_DEADLINE, self.operate_as_leader(order));
                 match asked.await.ok().flatten() {
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -166,8 +166,16 @@
         self.leadership(|l, _| l.set_campaigning(campaigning));
     }
 
-    pub fn buried(&self) {
-        self.leadership(|l, now| l.buried(now));
+    pub fn is_idle(&self) -> bool {
+        self.leadership(|l, _| l.is_idle())
+    }
+
+    pub fn set_asking(&self, asking: bool) {
+        self.leadership(|l, _| l.set_asking(asking));
+    }
+
+    pub fn released(&self) {
+        self.leadership(|l, now| l.released(now));
     }
 
     /// This process stood still: what came in meanwhile may be of users that have
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -18,6 +18,9 @@
     Renewal,
 }
 
+/// The part of the bucket that users leave to what is urgent.
+const NORMAL_RESERVE: f64 = 0.2;
+
 #[derive(Debug)]
 struct Bucket {
     tokens: f64,
@@ -34,15 +37,16 @@
 }
 
 impl Budget {
-    /// Empty at first: a process that is started anew does not spend what the one before it has
-    /// spent already, so however often that happens a node takes no more than one process would.
+    /// At first it holds what is kept for urgent requests and nothing more: a process that is
+    /// started anew does not spend what the one before it has spent already, so however often that
+    /// happens a node takes no more for its users than one process would.
     pub fn new(rate: f64, burst_s: f64) -> Self {
         let burst = (rate * burst_s).max(1.0);
         Self {
             rate,
             burst,
             bucket: Mutex::new(Bucket {
-                tokens: 0.0,
+                tokens: burst * NORMAL_RESERVE,
                 at: Instant::now(),
                 wanted: 0.0,
             }),
@@ -58,7 +62,7 @@
         bucket.at = now;
         let reserve = match urgency {
             Urgency::Low => self.burst * 0.5,
-            Urgency::Normal => self.burst * 0.2,
+            Urgency::Normal => self.burst * NORMAL_RESERVE,
             Urgency::High => 0.0,
             Urgency::Renewal => f64::NEG_INFINITY,
         };
@@ -172,7 +176,7 @@
             loop {
                 tokio::select! {
                     () = &mut lives => break,
-                    () = budget.spend(1.0, Urgency::High) => spent += 1,
+                    () = budget.spend(1.0, Urgency::Normal) => spent += 1,
                 }
             }
         }
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -1000,9 +1000,9 @@
     }
 }
 
-/// Seconds until a leader is elected after `i`, or everybody, has ended and is started again at
-/// once.
-fn until_elected(seed: u64, all: bool) -> f64 {
+/// Seconds until the next leader is elected after the leader, or everybody, has ended and is
+/// there again so many seconds later.
+fn until_elected(seed: u64, all: bool, again_s: f64) -> f64 {
     simulate(async move {
         let world = site(seed, 0.0);
         tokio::spawn(machines(world.clone()));
@@ -1017,7 +1017,7 @@
         let before = token(&world).1["stamp"].clone();
         let ended = Instant::now();
         for i in (0..NODES).filter(|&i| all || i == first) {
-            restart(&world, i, QUICKLY);
+            restart(&world, i, again_s);
         }
         loop {
             let (status, found) = token(&world);
@@ -1035,12 +1035,22 @@
 fn a_leader_that_is_there_again_at_once_costs_no_ttl() {
     for seed in 240..246 {
         for all in [false, true] {
-            let after_s = until_elected(seed, all);
+            let after_s = until_elected(seed, all, QUICKLY);
             assert!(after_s < 0.6, "seed {seed}, all {all}: {after_s} s");
         }
     }
 }
 
+/// Where all had ended each waited a TTL from its start for words that it might have given, to
+/// leaders that were no more.
+#[test]
+fn after_all_have_ended_no_word_is_waited_for() {
+    for seed in 250..256 {
+        let after_s = until_elected(seed, true, 2.5);
+        assert!(after_s < 2.5 + 0.5, "seed {seed}: {after_s} s");
+    }
+}
+
 fn leader(world: &Shared2) -> Option<usize> {
     let mut w = world.lock().unwrap();
     let now = w.now();
