--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -120,18 +120,18 @@
                 w.trip = w.trip.map(|(left, late)| (left.wrapping_sub(1), late));
                 w.trip.is_some_and(|(left, _)| left == u32::MAX)
             };
+            let sent = deliver(
+                self.world.clone(),
+                self.me.clone(),
+                target.clone(),
+                to.port(),
+                method,
+                path,
+                body,
+            );
             if trips {
                 let (_, late) = self.world.lock().unwrap().trip.take().expect("looked at");
                 if late {
-                    let sent = deliver(
-                        self.world.clone(),
-                        self.me.clone(),
-                        target,
-                        to.port(),
-                        method,
-                        path,
-                        body,
-                    );
                     let _ = sent.await;
                 }
                 restart(
@@ -151,15 +151,7 @@
                 return Err(CallError::Unsent);
             }
             // Detached: what was sent arrives, be it minutes after the sender gave up.
-            let carried = tokio::spawn(deliver(
-                self.world.clone(),
-                self.me.clone(),
-                target,
-                to.port(),
-                method,
-                path,
-                body,
-            ));
+            let carried = tokio::spawn(sent);
             let result = within(deadline, async {
                 let lost = |_| Err(CallError::Unknown("lost".into()));
                 let result = carried.await.unwrap_or_else(lost);
