--- a/crates/operators/src/cli.rs
+++ b/crates/operators/src/cli.rs
@@ -24,7 +24,13 @@
 #[derive(Debug, Subcommand)]
 pub enum Command {
     /// List the nodes.
-    Nodes(At),
+    Nodes {
+        /// Count the nodes that each controller speaks with instead.
+        #[arg(long, conflicts_with = "json")]
+        by_holder: bool,
+        #[command(flatten)]
+        at: At,
+    },
     /// Start nothing new on a node; what may move moves, the rest runs to its end.
     Drain {
         node: String,
@@ -98,8 +104,8 @@
 impl Command {
     fn at(&self) -> &At {
         match self {
-            Self::Nodes(at) | Self::Moves(at) => at,
-            Self::Drain { at, .. } | Self::Undrain { at, .. } => at,
+            Self::Moves(at) => at,
+            Self::Nodes { at, .. } | Self::Drain { at, .. } | Self::Undrain { at, .. } => at,
         }
     }
 
@@ -128,7 +134,14 @@
     async fn carry_out(&self, client: &Client) -> Result<(), ClientError> {
         let at = self.at();
         match self {
-            Self::Nodes(_) => at.show(&client.nodes().await?, |n| table::nodes(n)),
+            Self::Nodes { by_holder, .. } => {
+                let table = if *by_holder {
+                    table::by_holder
+                } else {
+                    table::nodes
+                };
+                at.show(&client.nodes().await?, |n| table(n));
+            }
             Self::Moves(_) => at.show(&client.moves().await?, table::moves),
             Self::Undrain { node, .. } => {
                 let node = client.undrain(node).await?;
--- a/crates/operators/src/table.rs
+++ b/crates/operators/src/table.rs
@@ -1,8 +1,10 @@
 //! Tables for people. Scripts use `--json`.
 
+use std::collections::BTreeMap;
+
 use comfy_table::{Table, presets};
 
-use crate::views::{Move, Moves, Node, Share};
+use crate::views::{Move, Moves, Node, NodeState, Share};
 
 fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
@@ -38,6 +40,7 @@
         "MEMORY GB",
         "HEARD",
         "DEADLINE",
+        "WITH",
     ]);
     for n in all {
         let state = format!("{:?}", n.state).to_lowercase();
@@ -54,6 +57,29 @@
             share(n.memory_gb),
             seconds(n.heard_s),
             seconds(n.deadline_s),
+            n.controller.clone().unwrap_or("-".into()),
+        ]);
+    }
+    t.trim_fmt()
+}
+
+/// Which controller speaks with how many nodes, and how many of them are well.
+pub fn by_holder(all: &[Node]) -> String {
+    let mut holders: BTreeMap<&str, [u32; 3]> = BTreeMap::new();
+    for n in all {
+        let with = n.controller.as_deref().unwrap_or("-");
+        let [nodes, ready, tasks] = holders.entry(with).or_default();
+        *nodes += 1;
+        *ready += u32::from(n.state == NodeState::Ready);
+        *tasks += n.tasks;
+    }
+    let mut t = table(&["CONTROLLER", "NODES", "READY", "TASKS"]);
+    for (with, [nodes, ready, tasks]) in holders {
+        t.add_row([
+            with.to_string(),
+            nodes.to_string(),
+            ready.to_string(),
+            tasks.to_string(),
         ]);
     }
     t.trim_fmt()
--- a/crates/operators/src/views.rs
+++ b/crates/operators/src/views.rs
@@ -33,6 +33,9 @@
     /// Since it was last heard.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub heard_s: Option<f64>,
+    /// Which controller speaks with it, where the machines are shared.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub controller: Option<String>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -1,5 +1,6 @@
 //! Workers' reports and the commands sent to them.
 
+use borsh::{BorshDeserialize, BorshSerialize};
 use serde::{Deserialize, Serialize};
 
 use crate::{JobId, parse_task};
@@ -34,7 +35,7 @@
     kept: Option<bool>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Report {
     pub machine: String,
     pub address: String,
@@ -48,7 +49,7 @@
     pub tasks: Vec<TaskReport>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct TaskReport {
     pub job: JobId,
     pub task: u32,
@@ -56,7 +57,7 @@
     pub phase: TaskPhase,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum TaskPhase {
     Fetching,
     Waiting,
@@ -65,7 +66,7 @@
     Exited(Exit),
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Exit {
     Done,
     Stopped { saved: bool },
@@ -135,14 +136,14 @@
     }
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub enum Verb {
     Start,
     Stop { grace_s: f64 },
     Forget,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Command {
     pub verb: Verb,
     pub job: JobId,
--- a/crates/standins/src/crew.rs
+++ b/crates/standins/src/crew.rs
@@ -12,7 +12,7 @@
     DrainRecord, RosterPage, Snapshot, StoredDrain, StoredJob, StoredSilence, bitmap,
 };
 use copperfield::coordination::core::{
-    CancelBegin, Config, Core, DirectOutcome, Effect, Input, RentOutcome,
+    CancelBegin, Config, Core, Effect, Input, Outcome, RentOutcome,
 };
 use copperfield::settings::{Cluster, Tuning};
 use copperfield_protocol::cloud::parse_types;
@@ -687,15 +687,15 @@
         let known = self.workers.contains_key(&machine);
         let reached = known && !self.silent.contains(&machine);
         let outcome = if !reached {
-            DirectOutcome::Unsent
+            Outcome::Unsent
         } else if self.workers[&machine].session == session {
             self.obey(&machine, orders);
-            DirectOutcome::Executed(self.report(&machine))
+            Outcome::Executed(self.report(&machine))
         } else {
-            DirectOutcome::Rejected(Some(self.report(&machine)))
+            Outcome::Rejected(Some(self.report(&machine)))
         };
         let after = match outcome {
-            DirectOutcome::Unsent => 0.5,
+            Outcome::Unsent => 0.5,
             _ => 0.01,
         };
         let input = Input::Direct {
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use copperfield::protocol::MAX_BODY;
 use copperfield::transport::client::{Answer, Http, Network};
 use copperfield::transport::server::{Incoming, Outgoing, bind, serve};
 use copperfield_http::Meter;
@@ -99,8 +100,8 @@
         let (for_state, for_cloud) = (self.clone(), self.clone());
         let (state, cloud) = (bind(self.state).await?, bind(self.cloud).await?);
         tokio::select! {
-            result = serve(state, MOST, Meter::new(MOST_BYTES), move |r| for_state.clone().answer_state(r)) => result,
-            result = serve(cloud, MOST, Meter::new(MOST_BYTES), move |r| for_cloud.clone().answer_cloud(r)) => result,
+            result = serve(state, MOST, MAX_BODY, Meter::new(MOST_BYTES), move |r| for_state.clone().answer_state(r)) => result,
+            result = serve(cloud, MOST, MAX_BODY, Meter::new(MOST_BYTES), move |r| for_cloud.clone().answer_cloud(r)) => result,
             () = self.live() => Ok(()),
         }
     }
@@ -285,7 +286,14 @@
                 let (this, served) = (self.clone(), name.clone());
                 tokio::spawn(async move {
                     let answer = move |r| this.clone().answer_worker(served.clone(), r);
-                    serve(bind(address).await?, MOST, Meter::new(MOST_BYTES), answer).await
+                    serve(
+                        bind(address).await?,
+                        MOST,
+                        MAX_BODY,
+                        Meter::new(MOST_BYTES),
+                        answer,
+                    )
+                    .await
                 });
             }
             let (at, node) = due.get_mut(&name).expect("inserted");
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -11,7 +11,7 @@
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::Standing;
-use crate::protocol::peer::{Lookup, Order};
+use crate::protocol::peer::{Downward, Lookup, Order, Outcome, Upward};
 use crate::protocol::worker::Report;
 use crate::transport::server::Outgoing;
 
@@ -24,6 +24,22 @@
         report: Report,
         reply: oneshot::Sender<Outgoing>,
     },
+    /// What a holder of some of the machines tells, asked of the leader.
+    Upward {
+        word: Upward,
+        reply: oneshot::Sender<Option<Downward>>,
+    },
+    /// The leader's answer to what this node told it, if one came.
+    Downward {
+        number: u64,
+        down: Option<Downward>,
+    },
+    /// How a message ended that this node carried for the leader of this token.
+    Carried {
+        token: u64,
+        flight: u64,
+        outcome: Outcome,
+    },
     /// What is known of each of these jobs, and who is thought to lead.
     Ask {
         jobs: Vec<JobId>,
--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -100,6 +100,7 @@
         }
         copy.stop = Some(Stop {
             grace_s,
+            ordered_at: copy.stop.map_or(self.now, |s| s.ordered_at),
             sent_at: None,
         });
         let command = self.command(key, Verb::Stop { grace_s });
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -22,6 +22,8 @@
 
 use super::state::{Fleet, Relocations, Roster, WINDOW_S};
 
+/// Silence and ends of leases are looked for so often, and before every batch.
+const WATCH_S: f64 = 0.05;
 /// How long a job's done bits may wait to be stored together.
 const PROGRESS_EVERY_S: f64 = 2.0;
 /// Arrays of so many tasks bid with those that are like them.
@@ -87,10 +89,13 @@
             roster: Roster::new(value_bytes),
             silence: Silence::new(value_bytes),
             unanswered: BTreeMap::new(),
+            sharing: None,
             word_until: f64::NEG_INFINITY,
+            valid_until: f64::NEG_INFINITY,
             unknown_machines: false,
             next_batch: now,
             next_second: now,
+            next_watch: now,
             move_credit: 0.0,
             relocations: Relocations::default(),
             drains: BTreeMap::new(),
@@ -123,14 +128,19 @@
         for input in inputs {
             self.take(input);
         }
-        self.expire_leases();
-        self.give_up_silent();
-        if self.now >= self.next_batch {
+        let batch = self.now >= self.next_batch;
+        if batch || self.now >= self.next_watch {
+            // Each looks at every machine: at each message they took the larger part of a step.
+            self.next_watch = self.now + WATCH_S;
+            self.expire_leases();
+            self.give_up_silent();
+        }
+        if batch {
             self.next_batch = self.now + WINDOW_S;
             self.settle();
+            self.tend_shares();
             self.note_silent();
             self.run_batch();
-            self.watch_takeover();
         }
         if self.now >= self.next_second {
             self.next_second = self.now + 1.0;
@@ -144,6 +154,7 @@
             }
             self.log_demand();
         }
+        self.watch_takeover();
         self.flush_commands();
         self.flush_writes();
         std::mem::take(&mut self.effects)
@@ -154,6 +165,9 @@
     /// have returned good machines. Leases are another matter: they run on.
     pub fn paused(&mut self, pause_s: f64) {
         self.listening_since += pause_s;
+        if let Some(sharing) = &mut self.sharing {
+            sharing.keeper.paused((pause_s * 1000.0) as u64);
+        }
         for (_, machine) in self.machines.iter_mut() {
             for at in [&mut machine.heard_at, &mut machine.unanswered_at] {
                 *at = at.map(|t| t + pause_s);
@@ -189,6 +203,13 @@
                 flight,
                 outcome,
             } => self.take_direct(&machine, flight, outcome),
+            Input::Upward { ticket, word } => self.take_upward(ticket, word),
+            Input::Heard(told) => self.take_own(told),
+            Input::NotCarried {
+                node,
+                flights,
+                surely,
+            } => self.take_not_carried(node, flights, surely),
             Input::Job(job) => self.add_job(job),
             Input::CancelBegin { ticket, job } => {
                 let begin = self.begin_cancel(job);
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -14,6 +14,9 @@
 
 /// Messages that are out and may be answered any moment.
 const WINDOW: usize = 256;
+/// What a message of this node's own takes of the window, and one that a holder carries.
+const WHOLE: usize = 4;
+const CARRIED: usize = 1;
 /// One that is out for longer waits for a machine, not for this process, and makes way: on
 /// ordinary days answers come within 20 ms.
 const YOUNG_S: Time = 0.2;
@@ -48,7 +51,8 @@
     pub(super) fn ask(&mut self, m: u32) {
         let flight = self.new_flight();
         self.machines[m].next_probe = self.now + 1.0;
-        self.fly(m, flight, Vec::new());
+        let via = self.carrier(m);
+        self.fly(m, flight, Vec::new(), via.is_some());
         let machine = &self.machines[m];
         self.effects.push(Effect::Inspect {
             machine: machine.name.clone(),
@@ -56,6 +60,7 @@
             // Most have never lost a lease.
             session: machine.session.max(1),
             flight,
+            via,
         });
     }
 
@@ -66,11 +71,15 @@
     }
 
     /// A message is out to a machine, with these starts in it.
-    fn fly(&mut self, m: u32, flight: u64, starts: Vec<CopyKey>) {
+    fn fly(&mut self, m: u32, flight: u64, starts: Vec<CopyKey>, carried: bool) {
+        if carried {
+            self.note_carried(m, flight);
+        }
         self.machines[m].flight = Some(Flight {
             id: flight,
             since: self.now,
             starts,
+            carried,
         });
     }
 
@@ -98,8 +107,8 @@
             return;
         }
         let mut out = self.out();
-        let mut window = WINDOW.saturating_sub(out.young);
-        if due.len() > window {
+        let mut window = (WINDOW * WHOLE).saturating_sub(out.young);
+        if due.len() * WHOLE > window {
             let old = |m: u32| out.old[self.machines[m].zone as usize] / FEW_OLD;
             due.sort_by_key(|&(reason, m)| (reason, old(m), m));
         }
@@ -113,9 +122,12 @@
                 }
                 out.to_silent += 1;
             }
-            window -= 1;
+            let cost = self.message_cost(m);
+            window = window.saturating_sub(cost);
             let machine = &self.machines[m];
-            if machine.session > machine.dead_session {
+            // Whoever has not learned of this leader is asked first: orders wait three times as
+            // long for an answer, and that a machine is gone was known a second later.
+            if machine.session > machine.dead_session && machine.synced {
                 self.send_orders(m);
             } else {
                 self.ask(m);
@@ -123,6 +135,14 @@
         }
     }
 
+    fn message_cost(&self, m: u32) -> usize {
+        if self.carrier(m).is_some() {
+            CARRIED
+        } else {
+            WHOLE
+        }
+    }
+
     fn out(&self) -> Out {
         let late_s = self.late_after_s();
         let mut out = Out {
@@ -136,7 +156,7 @@
             let late = machine.heard_at.is_some_and(|t| self.now - t > late_s);
             out.to_silent += usize::from(machine.on_record || late);
             if self.now - flight.since < YOUNG_S {
-                out.young += 1;
+                out.young += if flight.carried { CARRIED } else { WHOLE };
             } else {
                 out.old[machine.zone as usize] += 1;
             }
@@ -149,10 +169,13 @@
         let silent = self.is_silent(m);
         let machine = &self.machines[m];
         let may_probe = machine.next_probe <= self.now;
-        if machine.session <= machine.dead_session {
-            // Recorded by an earlier leader, not heard yet: ask it.
-            let asked = machine.was_recorded && !self.settled && may_probe;
-            return asked.then_some(if machine.on_record {
+        let unheard = machine.was_recorded && !machine.synced && !self.settled;
+        let never = machine.session <= machine.dead_session;
+        if never || (silent && unheard) {
+            // Recorded by an earlier leader, and not heard yet, or heard by a holder before this
+            // leader was there: ask it.
+            let asked = unheard && may_probe && !self.is_being_told();
+            return asked.then_some(if machine.on_record || !never {
                 Reason::QuestionToSilent
             } else {
                 Reason::Question
@@ -176,8 +199,12 @@
             Verb::Forget => Reason::Rest,
         };
         let most_urgent = machine.outbox.iter().map(reason).min();
-        // One that has not learned of this leader yet is taught by an empty message.
-        most_urgent.or((!machine.synced).then_some(Reason::Question))
+        // One that has not learned of this leader yet is taught by a question.
+        if machine.synced {
+            most_urgent
+        } else {
+            Some(Reason::Question)
+        }
     }
 
     fn send_orders(&mut self, m: u32) {
@@ -194,17 +221,16 @@
                 })
             })
             .collect();
-        self.fly(m, flight, starts);
-        let machine = &mut self.machines[m];
-        if !machine.synced {
-            machine.next_probe = self.now + 1.0;
-        }
+        let via = self.carrier(m);
+        self.fly(m, flight, starts, via.is_some());
+        let machine = &self.machines[m];
         self.effects.push(Effect::Direct {
             machine: machine.name.clone(),
             address: machine.address.clone(),
             session: machine.session,
             flight,
             commands,
+            via,
         });
     }
 }
--- a/src/coordination/drains.rs
+++ b/src/coordination/drains.rs
@@ -304,6 +304,7 @@
             memory_gb: share(2),
             deadline_s: until.map(|t| (t - self.now).max(0.0)),
             heard_s: machine.heard_at.map(|t| self.now - t),
+            controller: self.answered_at_node(m).map(str::to_string),
         }
     }
 
@@ -370,5 +371,6 @@
         memory_gb: nothing,
         deadline_s: None,
         heard_s: None,
+        controller: None,
     }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -167,6 +167,7 @@
             tracing::info!(machine = name, "returned: it and all on it are gone");
             self.clear_machine(m);
             self.strike(m);
+            self.unshare_machine(m);
             self.machines.remove(m);
             self.forget_drain(&name);
         }
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -5,7 +5,8 @@
 use crate::protocol::JobId;
 use crate::protocol::cloud::{Listed, MachineType};
 use crate::protocol::job::Standing;
-use crate::protocol::peer::Order;
+pub use crate::protocol::peer::Outcome;
+use crate::protocol::peer::{Downward, Order, Told, Upward};
 use crate::protocol::worker::{Command, Report};
 
 #[derive(Debug)]
@@ -18,7 +19,20 @@
     Direct {
         machine: String,
         flight: u64,
-        outcome: DirectOutcome,
+        outcome: Outcome,
+    },
+    /// What a holder of some of the machines tells.
+    Upward {
+        ticket: u64,
+        word: Upward,
+    },
+    /// What this node had heard before it was elected.
+    Heard(Vec<Told>),
+    /// Messages that another node was to carry and did not take; `surely`: it carries none.
+    NotCarried {
+        node: u32,
+        flights: Vec<u64>,
+        surely: bool,
     },
     Job(StoredJob),
     CancelBegin {
@@ -48,18 +62,6 @@
     },
 }
 
-#[derive(Debug)]
-pub enum DirectOutcome {
-    /// Surely not delivered.
-    Unsent,
-    /// Executed, with the report that followed.
-    Executed(Report),
-    /// Answered, but nothing was executed.
-    Rejected(Option<Report>),
-    /// It may still be carried out.
-    Unknown,
-}
-
 #[derive(Debug, Clone, PartialEq)]
 pub enum RentOutcome {
     Machines(Vec<String>),
@@ -93,12 +95,24 @@
         ticket: u64,
         why: &'static str,
     },
+    /// Answer a report without renewing anything: this node is to be reported to.
+    SendTo {
+        ticket: u64,
+        node: u32,
+    },
+    /// Answer a holder; `None`: it was overtaken by another word of the same.
+    Granted {
+        ticket: u64,
+        down: Option<Downward>,
+    },
     Direct {
         machine: String,
         address: String,
         session: u64,
         flight: u64,
         commands: Vec<Command>,
+        /// Through this node.
+        via: Option<u32>,
     },
     Inspect {
         machine: String,
@@ -106,6 +120,7 @@
         /// As far as is known, or as it most likely is.
         session: u64,
         flight: u64,
+        via: Option<u32>,
     },
     Write(Vec<Write>),
     Rent {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,6 +23,7 @@
 mod relocation;
 mod reports;
 mod roster;
+mod sharing;
 mod silence;
 mod state;
 mod storing;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -209,6 +209,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Stop {
     pub grace_s: f64,
+    pub ordered_at: Time,
     pub sent_at: Option<Time>,
 }
 
@@ -237,6 +238,8 @@
     pub id: u64,
     pub since: Time,
     pub starts: Vec<CopyKey>,
+    /// By another node.
+    pub carried: bool,
 }
 
 /// Room kept on a machine for tasks of a job.
@@ -294,6 +297,8 @@
     pub was_recorded: bool,
     /// The record of silent machines may name it: it gets no answer and no start.
     pub on_record: bool,
+    /// Under which the nodes that share the machines speak of it.
+    pub number: u32,
     pub images: Vec<u32>,
     pub claims: Vec<Claim>,
     /// Kept whole for the next job of this shape.
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use copperfield_shares::Where;
+
 use crate::protocol::job::Amounts;
 use crate::protocol::worker::{Command, Exit, MAX_COMMANDS, Report, TaskPhase, Verb, orders_body};
 
-use super::messages::{DirectOutcome, Effect, Source};
+use super::messages::{Effect, Outcome, Source};
 use super::model::*;
 use super::state::Core;
 
@@ -46,6 +48,7 @@
             recorded: false,
             was_recorded: false,
             on_record: self.silence.holds(name),
+            number: 0,
             images: Vec::new(),
             claims: Vec::new(),
             kept_for: None,
@@ -59,24 +62,53 @@
             unanswered_at: None,
         });
         self.machine_ids.insert(name.to_string(), ix);
+        self.share_machine(ix);
         ix
     }
 
     pub(super) fn take_hello(&mut self, ticket: u64, report: Report) {
+        let m = match self.machine_of(&report) {
+            Ok(m) => m,
+            Err(why) => return self.effects.push(Effect::Refuse { ticket, why }),
+        };
+        let Some(report) = self.may_answer(m, ticket, report) else {
+            return;
+        };
+        let newer = self.is_newer(m, &report);
+        match self.reports_here(m) {
+            Where::Here => {}
+            Where::Elsewhere(node) => {
+                if newer {
+                    self.apply_report(m, report, Source::Hello);
+                }
+                return self.effects.push(Effect::SendTo { ticket, node });
+            }
+            Where::Wait => return self.let_wait(ticket, report),
+        }
+        self.machines[m].answered_at = Some(self.now);
+        let counter = report.counter;
+        if newer {
+            self.apply_report(m, report, Source::Hello);
+        }
+        let commands = if newer {
+            self.collect_commands(m, counter)
+        } else {
+            Vec::new()
+        };
+        self.effects.push(Effect::Answer {
+            ticket,
+            body: orders_body(self.token, None, &commands),
+        });
+    }
+
+    /// The machine that a report is of, or why it means nothing to this leader.
+    pub(super) fn machine_of(&mut self, report: &Report) -> Result<u32, &'static str> {
         if report.token > self.token {
-            self.effects.push(Effect::Refuse {
-                ticket,
-                why: "a newer leader is known",
-            });
             self.effects.push(Effect::Deposed);
-            return;
+            return Err("a newer leader is known");
         }
         if self.gone.contains(&report.machine) {
-            self.effects.push(Effect::Refuse {
-                ticket,
-                why: "the machine was returned",
-            });
-            return;
+            return Err("the machine was returned");
         }
         let m = match self.machine_ids.get(&report.machine) {
             Some(&m) => m,
@@ -90,53 +122,38 @@
         };
         if report.session <= self.machines[m].dead_session {
             // Held back by the network: that session's lease ran out long ago.
-            self.effects.push(Effect::Refuse {
-                ticket,
-                why: "the session is over",
-            });
-            return;
-        }
-        let Some(report) = self.may_answer(m, ticket, report) else {
-            return;
-        };
-        let machine = &mut self.machines[m];
-        machine.answered_at = Some(self.now);
-        let counter = report.counter;
-        let newer = (report.session, report.counter) > (machine.session, machine.counter);
-        if newer {
-            self.apply_report(m, report, Source::Hello);
+            return Err("the session is over");
         }
-        let commands = if newer {
-            self.collect_commands(m, counter)
-        } else {
-            Vec::new()
-        };
-        self.effects.push(Effect::Answer {
-            ticket,
-            body: orders_body(self.token, None, &commands),
-        });
+        Ok(m)
     }
 
-    pub(super) fn take_direct(&mut self, name: &str, flight: u64, outcome: DirectOutcome) {
+    pub(super) fn is_newer(&self, m: u32, report: &Report) -> bool {
+        let machine = &self.machines[m];
+        (report.session, report.counter) > (machine.session, machine.counter)
+    }
+
+    pub(super) fn take_direct(&mut self, name: &str, flight: u64, outcome: Outcome) {
         let Some(&m) = self.machine_ids.get(name) else {
             return;
         };
-        let machine = &mut self.machines[m];
-        let starts = match machine.flight.take_if(|f| f.id == flight) {
+        let starts = match self.machines[m].flight.take_if(|f| f.id == flight) {
             Some(f) => f.starts,
             None => return,
         };
+        let answered = !matches!(outcome, Outcome::Unsent | Outcome::Unknown);
+        self.note_answer(m, answered);
+        let machine = &mut self.machines[m];
         let (report, executed) = match outcome {
-            DirectOutcome::Unsent => {
+            Outcome::Unsent => {
                 machine.note_unanswered(self.now);
                 machine.next_probe = self.now + 1.0;
                 (None, false)
             }
-            DirectOutcome::Executed(report) => {
+            Outcome::Executed(report) => {
                 machine.next_probe = self.now;
                 (Some(report), true)
             }
-            DirectOutcome::Rejected(report) => {
+            Outcome::Rejected(report) => {
                 // One that answers is not left waiting: a new leader's next message
                 // teaches it the token.
                 machine.next_probe = if report.is_some() {
@@ -146,7 +163,7 @@
                 };
                 (report, false)
             }
-            DirectOutcome::Unknown => {
+            Outcome::Unknown => {
                 // The message may be held by the network for minutes: its starts stay
                 // possible, and the attempt is not forgotten, until the session changes.
                 tracing::info!(machine = name, starts = starts.len(), "commands unanswered");
@@ -458,14 +475,22 @@
 
     /// What goes back with the answer to a report.
     pub(super) fn collect_commands(&mut self, m: u32, counter: u64) -> Vec<Command> {
-        let now = self.now;
         let mut commands = Vec::new();
         if self.machines[m].flight.is_none() {
             commands = self.take_outbox(m, Sent::Response { counter });
         }
+        commands.extend(self.follow_ups(m, MAX_COMMANDS.saturating_sub(commands.len())));
+        commands
+    }
+
+    /// At most so many orders that follow from what a machine has just reported: what has
+    /// ended is forgotten, what had no effect is sent again.
+    pub(super) fn follow_ups(&mut self, m: u32, most: usize) -> Vec<Command> {
+        let now = self.now;
+        let mut commands = Vec::new();
         let keys: Vec<CopyKey> = self.machines[m].copies.keys().copied().collect();
         for key in keys {
-            if commands.len() >= MAX_COMMANDS {
+            if commands.len() >= most {
                 break;
             }
             let job = &self.jobs[key.job];
@@ -488,6 +513,7 @@
                     Some(Stop {
                         grace_s,
                         sent_at: Some(at),
+                        ..
                     }),
                 ) if now - at > 1.0 && copy.phase != Some(TaskPhase::Saving) => {
                     Verb::Stop { grace_s }
@@ -557,7 +583,8 @@
     }
 
     pub(super) fn lease_over_at(&self, machine: &Machine) -> Time {
-        machine.answered_at.unwrap_or(self.elected_at) + self.lease_surely_s()
+        let answered = self.answered_by_all(machine);
+        answered.map_or(f64::INFINITY, |at| at + self.lease_surely_s())
     }
 
     /// After this long without an answer a worker has surely dropped its tasks.
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -97,8 +97,10 @@
             if machine.on_record || machine.page.is_none() || over || machine.returning {
                 continue;
             }
-            if self.now - heard > patience {
-                let answered = machine.answered_at.unwrap_or(self.elected_at);
+            // While a holder may still answer it there is nothing to promise.
+            if self.now - heard > patience
+                && let Some(answered) = self.answered_by_all(machine)
+            {
                 let due = ms(self.now + TOGETHER_S);
                 self.silence.silent(&machine.name, ms(answered), due);
             }
@@ -114,12 +116,17 @@
         if !machine.on_record || self.now < self.word_until {
             return Some(report);
         }
-        let name = machine.name.clone();
+        self.let_wait(ticket, report);
+        None
+    }
+
+    /// A report is answered later.
+    pub(super) fn let_wait(&mut self, ticket: u64, report: Report) {
+        let name = report.machine.clone();
         if let Some((ticket, _)) = self.unanswered.insert(name, (ticket, report)) {
             let why = "a newer report has come";
             self.effects.push(Effect::Refuse { ticket, why });
         }
-        None
     }
 
     /// A machine that surely holds nothing any more.
@@ -161,14 +168,7 @@
             Written::Ended(_) => return,
         }
         self.mark_recorded();
-        let waiting = std::mem::take(&mut self.unanswered);
-        for (name, (ticket, report)) in waiting {
-            if self.silence.holds(&name) {
-                self.unanswered.insert(name, (ticket, report));
-            } else {
-                self.take_hello(ticket, report);
-            }
-        }
+        self.answer_those_who_wait();
         tracing::debug!(page, named = self.silence.names().count(), "silence stored");
     }
 }
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -13,6 +13,7 @@
 
 use super::messages::Effect;
 use super::model::*;
+use super::sharing::Sharing;
 use super::takeover::Takeover;
 
 /// The batch window of the design.
@@ -80,12 +81,17 @@
     pub(super) silence: Silence,
     /// Reports of such machines, answered once their removal from the record is stored.
     pub(super) unanswered: BTreeMap<String, (u64, Report)>,
+    /// Where other nodes speak with some of the machines.
+    pub(super) sharing: Option<Sharing>,
     /// Until when this leader acts on the word of all other nodes.
     pub word_until: Time,
+    /// Until when this leader is valid, for what it grants others.
+    pub valid_until: Time,
     /// A page of the roster cannot be read: any machine may hold anything.
     pub(super) unknown_machines: bool,
     pub(super) next_batch: Time,
     pub(super) next_second: Time,
+    pub(super) next_watch: Time,
     /// How long replicas may be away for moves, in seconds.
     pub(super) move_credit: f64,
     pub(super) relocations: Relocations,
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -55,6 +55,8 @@
             }
             if heard >= takeover.awaited - takeover.awaited / 100 {
                 takeover.most_s = Some(after_s);
+                // What waited for these need not wait for the window's end as well.
+                self.next_batch = self.now;
             }
         }
         let burst_is_over = takeover
--- a/src/errands.rs
+++ b/src/errands.rs
@@ -1,15 +1,18 @@
 //! What the core asks for and cannot do itself: talking to workers, the cloud and
 //! the state service.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Method;
 
+use crate::bookkeeping::store::call_peer;
 use crate::bookkeeping::writer::{self, WriteError};
 use crate::commands::{Command, Handle};
-use crate::coordination::core::{DirectOutcome, Effect, Input, RentOutcome};
+use crate::coordination::core::{Effect, Input, Outcome, RentOutcome};
 use crate::protocol::cloud::{self, MachineType};
+use crate::protocol::peer::{Carried, PeerReply, PeerRequest};
 use crate::protocol::worker::{Command as WorkerCommand, Report, orders_body};
 use crate::shared::Shared;
 use crate::transport::budget::Urgency;
@@ -17,6 +20,7 @@
 
 const DIRECT_DEADLINE: Duration = Duration::from_millis(1500);
 const INSPECT_DEADLINE: Duration = Duration::from_millis(500);
+const CARRY_DEADLINE: Duration = Duration::from_millis(1000);
 const CLOUD_DEADLINE: Duration = Duration::from_secs(3);
 
 /// Does what the core cannot: talks to workers, the cloud and the state service.
@@ -33,8 +37,9 @@
             session,
             flight,
             commands,
+            ..
         } => {
-            let outcome = send_direct(shared, token, &address, session, &commands).await;
+            let outcome = speak(shared, token, &address, session, &commands).await;
             Some(Input::Direct {
                 machine,
                 flight,
@@ -46,15 +51,9 @@
             address,
             session,
             flight,
+            ..
         } => {
-            // Orders without an order: answered with a report as `/inspect` is, and where the
-            // session is right the machine has learned the token with it. A new leader once
-            // needed two exchanges with each machine before it could use it.
-            let asked = send_direct(shared, token, &address, session, &[]);
-            let outcome = match tokio::time::timeout(INSPECT_DEADLINE, asked).await {
-                Ok(DirectOutcome::Unknown) | Err(_) => DirectOutcome::Unsent,
-                Ok(outcome) => outcome,
-            };
+            let outcome = speak(shared, token, &address, session, &[]).await;
             Some(Input::Direct {
                 machine,
                 flight,
@@ -122,16 +121,95 @@
     }
 }
 
+/// Sends orders, or asks. Orders without an order are a question: answered with a report as
+/// `/inspect` is, and where the session is right the machine has learned the token with it. A new
+/// leader once needed two exchanges with each machine before it could use it.
+async fn speak(
+    shared: &Shared,
+    token: u64,
+    address: &str,
+    session: u64,
+    commands: &[WorkerCommand],
+) -> Outcome {
+    let asked = send_direct(shared, token, address, session, commands);
+    if !commands.is_empty() {
+        return asked.await;
+    }
+    match tokio::time::timeout(INSPECT_DEADLINE, asked).await {
+        Ok(Outcome::Unknown) | Err(_) => Outcome::Unsent,
+        Ok(outcome) => outcome,
+    }
+}
+
+/// Gives another node messages to carry. What becomes of them it tells by itself.
+pub async fn give_to_carry(
+    shared: &Shared,
+    token: u64,
+    node: u32,
+    to: SocketAddr,
+    messages: Vec<Carried>,
+) -> Option<Input> {
+    let flights = messages.iter().map(|m| m.flight).collect();
+    let body = borsh::to_vec(&PeerRequest::Carry { token, messages }).expect("plain data");
+    let surely = if shared.may_order(token) {
+        let sent = shared
+            .http
+            .call(Method::POST, to, "/peer", body, CARRY_DEADLINE);
+        match sent.await {
+            Ok(answer) => match borsh::from_slice(&answer.body) {
+                Ok(PeerReply::Carrying) => return None,
+                // Refused, by a node that may not or one that knows nothing of shares.
+                _ => true,
+            },
+            Err(CallError::Unsent) => true,
+            Err(CallError::Unknown(_)) => false,
+        }
+    } else {
+        true
+    };
+    Some(Input::NotCarried {
+        node,
+        flights,
+        surely,
+    })
+}
+
+/// Carries messages for the leader of this token. False if that is not this node's to do.
+pub fn carry(shared: &Arc<Shared>, handle: &Handle, token: u64, messages: Vec<Carried>) -> bool {
+    if !shared.may_order(token) {
+        return false;
+    }
+    for Carried {
+        flight,
+        address,
+        session,
+        commands,
+    } in messages
+    {
+        let (shared, handle) = (shared.clone(), handle.clone());
+        tokio::spawn(async move {
+            let outcome = speak(&shared, token, &address, session, &commands).await;
+            let command = Command::Carried {
+                token,
+                flight,
+                outcome,
+            };
+            handle.send(command).await;
+        });
+    }
+    true
+}
+
 async fn send_direct(
     shared: &Shared,
     token: u64,
     address: &str,
     session: u64,
     commands: &[WorkerCommand],
-) -> DirectOutcome {
+) -> Outcome {
     let to = match address.parse() {
-        Ok(to) if shared.is_valid() => to,
-        _ => return DirectOutcome::Unsent,
+        Ok(to) if shared.may_order(token) => to,
+        _ => return Outcome::Unsent,
     };
     let body = orders_body(token, Some(session), commands);
     let sent = shared
@@ -139,14 +217,26 @@
         .call(Method::POST, to, "/orders", body, DIRECT_DEADLINE);
     let answer = match sent.await {
         Ok(answer) => answer,
-        Err(CallError::Unsent) => return DirectOutcome::Unsent,
-        Err(CallError::Unknown(_)) => return DirectOutcome::Unknown,
+        Err(CallError::Unsent) => return Outcome::Unsent,
+        Err(CallError::Unknown(_)) => return Outcome::Unknown,
     };
     match (answer.status, Report::parse(&answer.body)) {
-        (200, Ok(report)) => DirectOutcome::Executed(report),
-        (409, report) => DirectOutcome::Rejected(report.ok()),
-        (400, _) => DirectOutcome::Rejected(None),
-        _ => DirectOutcome::Unknown,
+        (200, Ok(report)) => Outcome::Executed(report),
+        (409, report) => Outcome::Rejected(report.ok()),
+        (400, _) => Outcome::Rejected(None),
+        _ => Outcome::Unknown,
+    }
+}
+
+/// A new leader need not be looked for.
+pub async fn tell_all_that_it_leads(shared: Arc<Shared>) {
+    for peer in &shared.settings.others {
+        let (shared, to) = (shared.clone(), peer.peer_addr);
+        tokio::spawn(async move {
+            let member = shared.settings.member.clone();
+            let told = PeerRequest::Leads { member };
+            call_peer(shared.http.as_ref(), to, &told, CARRY_DEADLINE).await;
+        });
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod commands;
 pub mod coordination;
 pub mod errands;
+pub mod holding;
 pub mod node;
 pub mod service;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use clap::{Parser, Subcommand};
+use copperfield::protocol::{MAX_BODY, MAX_PEER_BODY};
 use copperfield::service::Service;
 use copperfield::settings::{Log, LogFormat, Settings, Tuning, tuning_beside};
 use copperfield::transport::client::Http;
@@ -184,10 +185,14 @@
     let network = Arc::new(Http::default());
     let (service, owner) = Service::start(settings, tuning, network, rand::random());
     let for_users = service.clone();
-    let public = serve(public, for_public, meter.clone(), move |request| {
-        for_users.clone().public(request)
-    });
-    let peers = serve(peers, for_peers, meter, move |request| {
+    let public = serve(
+        public,
+        for_public,
+        MAX_BODY,
+        meter.clone(),
+        move |request| for_users.clone().public(request),
+    );
+    let peers = serve(peers, for_peers, MAX_PEER_BODY, meter, move |request| {
         service.clone().peer(request)
     });
     // Whichever of these ends, the process is of no use any more.
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,7 +4,7 @@
 //! worked through in batches; what has to be done outside is done by spawned
 //! tasks that report back through the same queue.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,12 +15,14 @@
 use crate::bookkeeping::recovery::recover;
 use crate::commands::{Command, Handle, OperatorAnswer};
 use crate::coordination::core::{CancelBegin, Config, Core, Effect, Input};
-use crate::errands::perform;
+use crate::errands::{give_to_carry, perform, tell_all_that_it_leads};
+use crate::holding::{Heard, Holding};
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::job::Standing;
-use crate::protocol::peer::Lookup;
+use crate::protocol::peer::{Carried, Downward, Lookup};
 use crate::protocol::worker::Report;
+use crate::settings::Switch;
 use crate::shared::Shared;
 use crate::transport::server::Outgoing;
 
@@ -36,12 +38,18 @@
 /// and is worked off within a moment.
 const LONG_PAUSE: Duration = Duration::from_secs(2);
 
+/// Of a body between controllers, and of what is in it. A part of what may be: its receiver
+/// begins with the first while the next are written.
+const BODY_BYTES: usize = 40 * 1024;
+const CARRIED_BYTES: usize = 64;
+const ORDER_BYTES: usize = 32;
+
 enum Role {
     Follower,
     /// Elected, and reading what is stored. Reports wait for that.
     Recovering {
         token: u64,
-        waiting: Vec<(Report, oneshot::Sender<Outgoing>)>,
+        heard: Heard,
     },
     Leading(Box<Leading>),
 }
@@ -51,6 +59,7 @@
     tickets: HashMap<u64, oneshot::Sender<Outgoing>>,
     cancels: HashMap<u64, oneshot::Sender<Option<(CancelBegin, u64)>>>,
     operators: HashMap<u64, oneshot::Sender<Option<OperatorAnswer>>>,
+    holders: HashMap<u64, oneshot::Sender<Option<Downward>>>,
     next_ticket: u64,
     /// What arrived while the lease was in doubt.
     held: Vec<Input>,
@@ -61,6 +70,8 @@
     handle: Handle,
     queue: mpsc::Receiver<Command>,
     role: Role,
+    /// While this node does not lead, where machines are shared.
+    holding: Option<Holding>,
     leader: Option<String>,
     /// When the key of a leader was last seen, or since when this process looks.
     leader_seen: Instant,
@@ -77,6 +88,7 @@
         let (tx, rx) = mpsc::channel(QUEUE);
         let handle = Handle::new(tx);
         let owner = Self {
+            holding: Holding::begin(&shared, &handle),
             shared,
             handle: handle.clone(),
             queue: rx,
@@ -118,6 +130,9 @@
                 self.take(command, &mut inputs);
             }
             self.step(inputs);
+            if let Some(holding) = &mut self.holding {
+                holding.tick();
+            }
         }
     }
 
@@ -187,15 +202,16 @@
                 if leader.is_some() {
                     self.leader_seen = Instant::now();
                 }
+                if let Some(holding) = &mut self.holding {
+                    holding.leader_seen(leader.as_deref());
+                }
                 self.leader = leader;
             }
             Command::Elected { token } => {
                 self.elected = Instant::now();
                 self.leader = Some(self.shared.settings.member.clone());
-                self.role = Role::Recovering {
-                    token,
-                    waiting: Vec::new(),
-                };
+                let heard = self.holding.take().map(Holding::end).unwrap_or_default();
+                self.role = Role::Recovering { token, heard };
                 let shared = self.shared.clone();
                 let handle = self.handle.clone();
                 tokio::spawn(async move { recover(shared, handle, token).await });
@@ -205,6 +221,32 @@
                 self.leader = None;
                 // Dropped replies become 421: the workers look for the next leader.
                 self.role = Role::Follower;
+                self.holding = Holding::begin(&self.shared, &self.handle);
+            }
+            Command::Upward { word, reply } => match &mut self.role {
+                Role::Leading(l) if self.shared.is_valid() => {
+                    let ticket = l.next_ticket;
+                    l.next_ticket += 1;
+                    l.holders.insert(ticket, reply);
+                    inputs.push(Input::Upward { ticket, word });
+                }
+                _ => {
+                    let _ = reply.send(None);
+                }
+            },
+            Command::Downward { number, down } => {
+                if let Some(holding) = &mut self.holding {
+                    holding.granted(number, down);
+                }
+            }
+            Command::Carried {
+                token,
+                flight,
+                outcome,
+            } => {
+                if let Some(holding) = &mut self.holding {
+                    holding.carried(token, flight, outcome);
+                }
             }
             Command::Input { token, input } => {
                 if let Role::Leading(l) = &self.role
@@ -217,8 +259,8 @@
     }
 
     fn start_leading(&mut self, token: u64, snapshot: Snapshot, inputs: &mut Vec<Input>) {
-        let waiting = match &mut self.role {
-            Role::Recovering { token: t, waiting } if *t == token => std::mem::take(waiting),
+        let Heard { told, waiting } = match &mut self.role {
+            Role::Recovering { token: t, heard } if *t == token => std::mem::take(heard),
             _ => return,
         };
         tracing::info!(
@@ -234,15 +276,22 @@
             tuning: self.shared.tuning.clone(),
         };
         let types = self.types.as_deref().cloned().unwrap_or_default();
-        let core = Core::new(config, token, self.shared.now_s(), types, snapshot);
+        let mut core = Core::new(config, token, self.shared.now_s(), types, snapshot);
+        let settings = &self.shared.settings;
+        if self.shared.tuning.shares == Switch::On && !settings.others.is_empty() {
+            core.share_with(settings.place(), &settings.nodes());
+            tokio::spawn(tell_all_that_it_leads(self.shared.clone()));
+        }
         self.role = Role::Leading(Box::new(Leading {
             core,
             tickets: HashMap::new(),
             cancels: HashMap::new(),
             operators: HashMap::new(),
+            holders: HashMap::new(),
             next_ticket: 0,
             held: Vec::new(),
         }));
+        inputs.push(Input::Heard(told));
         for (report, reply) in waiting {
             self.take_hello(report, reply, inputs);
         }
@@ -261,16 +310,16 @@
                 l.tickets.insert(ticket, reply);
                 inputs.push(Input::Report { ticket, report });
             }
-            Role::Recovering { waiting, .. } if waiting.len() < QUEUE => {
-                waiting.push((report, reply));
+            Role::Recovering { heard, .. } if heard.waiting.len() < QUEUE => {
+                heard.waiting.push((report, reply));
+            }
+            Role::Follower if self.holding.is_some() => {
+                if let Some(holding) = &mut self.holding {
+                    holding.hello(report, reply);
+                }
             }
             _ => {
-                let me = &self.shared.settings.member;
-                let body = match &self.leader {
-                    Some(leader) if leader != me => serde_json::json!({"controller": leader}),
-                    _ => serde_json::json!({}),
-                };
-                let _ = reply.send(Outgoing::json(421, &body));
+                let _ = reply.send(self.shared.send_to(self.leader.as_deref()));
             }
         }
     }
@@ -314,6 +363,9 @@
                     Input::Operate { ticket, .. } => {
                         l.operators.remove(&ticket);
                     }
+                    Input::Upward { ticket, .. } => {
+                        l.holders.remove(&ticket);
+                    }
                     other => l.held.push(other),
                 }
             }
@@ -331,11 +383,18 @@
         all.extend(inputs);
         let began = std::time::Instant::now();
         l.core.word_until = self.shared.word_until_s();
-        let effects = l.core.step(self.shared.now_s(), all);
+        let now = self.shared.now_s();
+        l.core.valid_until = now + self.shared.valid_for().as_secs_f64();
+        let effects = l.core.step(now, all);
         let _ = self.steps.record(began.elapsed().as_micros() as u64);
+        let mut carried: BTreeMap<u32, Vec<Carried>> = BTreeMap::new();
         for effect in effects {
-            self.carry_out(effect);
+            match for_another(effect) {
+                Ok((node, message)) => carried.entry(node).or_default().push(message),
+                Err(effect) => self.carry_out(effect),
+            }
         }
+        self.have_carried(carried);
         let now = self.shared.now_s();
         if now >= self.next_stats {
             self.next_stats = now + 30.0;
@@ -350,6 +409,35 @@
         }
     }
 
+    /// Gives messages to the nodes that are to carry them, in bodies that they take.
+    fn have_carried(&self, carried: BTreeMap<u32, Vec<Carried>>) {
+        let Role::Leading(l) = &self.role else {
+            return;
+        };
+        let token = l.core.token;
+        for (node, mut messages) in carried {
+            let member = self.shared.settings.node(node);
+            let Some(to) = self.shared.peer_address(member) else {
+                continue;
+            };
+            while !messages.is_empty() {
+                let mut bytes = 0;
+                let fits = messages.iter().position(|m| {
+                    bytes += CARRIED_BYTES + ORDER_BYTES * m.commands.len();
+                    bytes > BODY_BYTES
+                });
+                let later = messages.split_off(fits.unwrap_or(messages.len()).max(1));
+                let now = std::mem::replace(&mut messages, later);
+                let (shared, handle) = (self.shared.clone(), self.handle.clone());
+                tokio::spawn(async move {
+                    if let Some(input) = give_to_carry(&shared, token, node, to, now).await {
+                        handle.send(Command::Input { token, input }).await;
+                    }
+                });
+            }
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         let Role::Leading(l) = &mut self.role else {
             return;
@@ -370,6 +458,17 @@
                     let _ = reply.send(Outgoing::error(503, why));
                 }
             }
+            Effect::SendTo { ticket, node } => {
+                let node = self.shared.settings.node(node);
+                if let Some(reply) = l.tickets.remove(&ticket) {
+                    let _ = reply.send(self.shared.send_to(Some(node)));
+                }
+            }
+            Effect::Granted { ticket, down } => {
+                if let Some(reply) = l.holders.remove(&ticket) {
+                    let _ = reply.send(down);
+                }
+            }
             Effect::Cancel { ticket, begin } => {
                 if let Some(reply) = l.cancels.remove(&ticket) {
                     let _ = reply.send(Some((begin, token)));
@@ -400,3 +499,32 @@
         }
     }
 }
+
+/// A message to a machine that another node speaks with, or what else an effect is.
+fn for_another(effect: Effect) -> Result<(u32, Carried), Effect> {
+    let (node, flight, address, session, commands) = match effect {
+        Effect::Direct {
+            via: Some(node),
+            flight,
+            address,
+            session,
+            commands,
+            ..
+        } => (node, flight, address, session, commands),
+        Effect::Inspect {
+            via: Some(node),
+            flight,
+            address,
+            session,
+            ..
+        } => (node, flight, address, session, Vec::new()),
+        other => return Err(other),
+    };
+    let message = Carried {
+        flight,
+        address,
+        session,
+        commands,
+    };
+    Ok((node, message))
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -17,6 +17,7 @@
 use crate::commands::{Command, Handle};
 use crate::coordination::core::CancelBegin;
 use crate::coordination::election;
+use crate::errands::carry;
 use crate::node::Owner;
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
@@ -163,7 +164,7 @@
             .await
         {
             // Looked at again as it leaves: the process may have stood still since.
-            Some(answer) if answer.status == 421 || self.shared.is_valid() => answer,
+            Some(answer) if answer.status == 421 || self.shared.may_answer() => answer,
             _ => Outgoing::json(421, &json!({})),
         }
     }
@@ -591,6 +592,24 @@
                 up_ms: (self.shared.now_s() * 1000.0) as u64,
             },
             PeerRequest::Idle => PeerReply::Unable,
+            PeerRequest::Share(word) => {
+                let asked = self.handle.ask(|reply| Command::Upward { word, reply });
+                match asked.await.flatten() {
+                    Some(down) => PeerReply::Granted(down),
+                    None => PeerReply::Unable,
+                }
+            }
+            PeerRequest::Carry { token, messages } => {
+                if carry(&self.shared, &self.handle, token, messages) {
+                    PeerReply::Carrying
+                } else {
+                    PeerReply::Unable
+                }
+            }
+            PeerRequest::Leads { member } => {
+                self.handle.send(Command::LeaderSeen(Some(member))).await;
+                PeerReply::Pong
+            }
             PeerRequest::Operate(order) => {
                 let asked = timeout(CANCEL_DEADLINE, self.operate_as_leader(order));
                 match asked.await.ok().flatten() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -133,6 +133,29 @@
 }
 
 impl Settings {
+    /// All nodes in the order that every one of them has them in, with where each is.
+    pub fn nodes(&self) -> Vec<(&str, &str)> {
+        let others = self.others.iter();
+        let others = others.map(|p| (p.member.as_str(), p.site.as_str()));
+        let mut all: Vec<_> = others.collect();
+        all.push((&self.member, &self.site));
+        all.sort();
+        all
+    }
+
+    /// This node's place among all nodes.
+    pub fn place(&self) -> u32 {
+        let nodes = self.nodes();
+        let mine = nodes.iter().position(|(n, _)| *n == self.member);
+        mine.unwrap_or(0) as u32
+    }
+
+    /// The name of the node at a place; empty if there is none.
+    pub fn node(&self, place: u32) -> &str {
+        let nodes = self.nodes();
+        nodes.get(place as usize).map_or("", |(n, _)| n)
+    }
+
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let file = path.display().to_string();
         let text = read(path)?;
@@ -268,6 +291,8 @@
     pub fleet_max: u32,
     /// Length of the leader's lease.
     pub leader_ttl_ms: u64,
+    /// Whether the machines are shared among the controllers, so that each speaks with a part.
+    pub shares: Switch,
     /// Frees whole machines by moving work that may move.
     pub defragmentation: Defragmentation,
     /// What operators say of classes of jobs, by name.
@@ -277,6 +302,13 @@
     pub log: Log,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Switch {
+    On,
+    Off,
+}
+
 /// The block `defragmentation`.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -364,6 +396,7 @@
             deserted_return_s: 25.0,
             fleet_max: 0,
             leader_ttl_ms: 2500,
+            shares: Switch::On,
             defragmentation: Defragmentation::default(),
             class: BTreeMap::new(),
             operators: None,
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::settings::{Settings, Tuning};
 use crate::transport::budget::Budget;
 use crate::transport::client::Network;
+use crate::transport::server::Outgoing;
 
 /// How long a leader that heard no worker lets others go first.
 const ABDICATION_MS: u64 = 8000;
@@ -32,6 +33,9 @@
     start: Instant,
     /// Whether this node may lead and what it has promised, in ms since `start`.
     leadership: Mutex<Leadership>,
+    /// The leader's grant to this node to speak with some machines: its token, and until when,
+    /// in ms since `start`.
+    granted: Mutex<(u64, u64)>,
     /// Until when others are let go first, in ms since `start`.
     stand_back_until: AtomicU64,
     /// When a peer was last heard, in ms since `start`.
@@ -61,6 +65,7 @@
             store,
             start: Instant::now(),
             leadership: Mutex::new(Leadership::new(tuning.leader_ttl_ms, MARGIN_MS)),
+            granted: Mutex::new((0, 0)),
             stand_back_until: AtomicU64::new(0),
             peer_heard: AtomicU64::new(0),
             stale_until: AtomicU64::new(0),
@@ -83,6 +88,31 @@
         at.saturating_duration_since(self.start).as_millis() as u64
     }
 
+    /// As [`Self::now_s`], in ms.
+    pub fn now_ms(&self) -> u64 {
+        self.ms(Instant::now())
+    }
+
+    /// This node may speak with machines under this token until then, by [`Self::now_ms`].
+    pub fn set_granted(&self, token: u64, until_ms: u64) {
+        *self.granted.lock().expect("no panic while held") = (token, until_ms);
+    }
+
+    fn granted(&self) -> Option<u64> {
+        let (token, until) = *self.granted.lock().expect("no panic while held");
+        (self.now_ms() < until).then_some(token)
+    }
+
+    /// Whether a machine may be answered now, by this node as leader or under a grant.
+    pub fn may_answer(&self) -> bool {
+        self.is_valid() || self.granted().is_some()
+    }
+
+    /// Whether orders under this token may leave from here.
+    pub fn may_order(&self, token: u64) -> bool {
+        (self.is_valid() && self.leads(token)) || self.granted() == Some(token)
+    }
+
     pub fn now_s(&self) -> f64 {
         self.start.elapsed().as_secs_f64()
     }
@@ -201,6 +231,14 @@
         (now - self.peer_heard.load(Ordering::Relaxed).min(now)) as f64 / 1000.0
     }
 
+    /// 421 with the node that a machine is to report to, if that is another one.
+    pub fn send_to(&self, node: Option<&str>) -> Outgoing {
+        match node.filter(|n| *n != self.settings.member) {
+            Some(node) => Outgoing::json(421, &serde_json::json!({ "controller": node })),
+            None => Outgoing::json(421, &serde_json::json!({})),
+        }
+    }
+
     pub fn peer_address(&self, member: &str) -> Option<SocketAddr> {
         self.settings
             .others
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -15,8 +15,6 @@
 use warp::path::FullPath;
 use warp::{Filter, Rejection};
 
-use crate::protocol::MAX_BODY;
-
 /// A request as the layers above see it.
 #[derive(Debug)]
 pub struct Incoming {
@@ -99,6 +97,7 @@
 pub async fn serve<H, F>(
     listener: TcpListener,
     most: usize,
+    most_body: u64,
     meter: Meter,
     handler: H,
 ) -> std::io::Result<()>
@@ -109,7 +108,7 @@
     let with_body = warp::post()
         .or(warp::put())
         .unify()
-        .and(warp::body::content_length_limit(MAX_BODY))
+        .and(warp::body::content_length_limit(most_body))
         .and(warp::body::bytes());
     let without_body = warp::get().or(warp::delete()).unify().map(Bytes::new);
     let query = warp::query::raw()
@@ -139,7 +138,7 @@
         most,
         idle: IDLE,
         whole: WHOLE,
-        most_body: MAX_BODY,
+        most_body,
         spare: SPARE,
         meter,
         standing: |path| match path.starts_with("/work") {
@@ -199,7 +198,7 @@
         let address: SocketAddr = "127.0.0.1:18651".parse().expect("valid");
         let handler = |_| async { Outgoing::json(200, &json!({"ok": true})) };
         let listener = bind(address).await.expect("free");
-        let server = tokio::spawn(serve(listener, 3, Meter::new(1 << 20), handler));
+        let server = tokio::spawn(serve(listener, 3, 1 << 16, Meter::new(1 << 20), handler));
         sleep(Duration::from_millis(100)).await;
         let mut stalled = Vec::new();
         for _ in 0..3 {
