A machine is silent only if two nodes have had no answer of it

Change: a question that went unanswered is asked again at once by another way: by a node that carries messages if this one asked, by this one if another did. Only a machine that answered neither is returned; orders take the way that was answered. Without shares it is as before. Ruled out: giving leadership up, as before shares. It would cost a failover for nothing.

Test: a leader cut off from all machines for 20 s, and no task notices.

--- a/crates/shares/src/keeper.rs
+++ b/crates/shares/src/keeper.rs
@@ -160,6 +160,13 @@
         helpers.get(machine as usize % (helpers.len() + 1)).copied()
     }
 
+    /// Another node that carries messages to a machine which this one does not reach.
+    pub fn any_helper(&self, machine: u32, now: u64) -> Option<u32> {
+        let all = 0..self.nodes.len() as u32;
+        let helpers: Vec<u32> = all.filter(|n| self.carries(*n, now)).collect();
+        (!helpers.is_empty()).then(|| helpers[machine as usize % helpers.len()])
+    }
+
     /// A node could not be given messages.
     pub fn cannot_carry(&mut self, node: u32, now: u64) {
         self.nodes[node as usize].refused_until = now + REFUSED_MS;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -459,6 +459,7 @@
                 continue;
             }
             let asked = machine.unanswered_at.is_some_and(|t| t >= at + expected);
+            let asked = asked && self.answers_nobody(m);
             let asked = asked && {
                 let latest = latest_heard.get_or_insert_with(|| self.latest_heard());
                 self.zone_is_heard(latest, m, machine.unanswered_at)
@@ -499,7 +500,8 @@
             // Asked once a second: by then two questions have gone unanswered.
             let asked_twice = machine
                 .unanswered_at
-                .is_some_and(|t| self.now - t > ASKED_AGAIN_S);
+                .is_some_and(|t| self.now - t > ASKED_AGAIN_S)
+                && self.answers_nobody(m);
             if asked_twice && !machine.returning && self.zone_is_heard(&latest, m, since) {
                 tracing::warn!(
                     machine = self.machines[m].name,
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -314,12 +314,37 @@
     pub next_probe: Time,
     /// When it first failed to answer since it was last heard.
     pub unanswered_at: Option<Time>,
+    /// Whose messages it has not answered since then.
+    pub missed: Missed,
+}
+
+/// Who has had no answer of a machine: this node, another that carried a message for it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Missed {
+    pub own: bool,
+    pub carried: bool,
 }
 
 impl Machine {
-    pub fn note_unanswered(&mut self, now: Time) {
+    pub fn note_unanswered(&mut self, now: Time, carried: bool) {
         if self.unanswered_at <= self.heard_at {
             self.unanswered_at = Some(now);
+            self.missed = Missed::default();
+        }
+        let missed = &mut self.missed;
+        *(if carried {
+            &mut missed.carried
+        } else {
+            &mut missed.own
+        }) = true;
+    }
+
+    /// Who has had no answer since it was last heard.
+    pub fn missed(&self) -> Missed {
+        if self.unanswered_at > self.heard_at {
+            self.missed
+        } else {
+            Missed::default()
         }
     }
 }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -60,6 +60,7 @@
             idle_since: None,
             next_probe: 0.0,
             unanswered_at: None,
+            missed: Missed::default(),
         });
         self.machine_ids.insert(name.to_string(), ix);
         self.share_machine(ix);
@@ -136,17 +137,19 @@
         let Some(&m) = self.machine_ids.get(name) else {
             return;
         };
-        let starts = match self.machines[m].flight.take_if(|f| f.id == flight) {
-            Some(f) => f.starts,
-            None => return,
+        let Some(Flight {
+            starts, carried, ..
+        }) = self.machines[m].flight.take_if(|f| f.id == flight)
+        else {
+            return;
         };
         let answered = !matches!(outcome, Outcome::Unsent | Outcome::Unknown);
         self.note_answer(m, answered);
         let machine = &mut self.machines[m];
         let (report, executed) = match outcome {
             Outcome::Unsent => {
-                machine.note_unanswered(self.now);
-                machine.next_probe = self.now + 1.0;
+                machine.note_unanswered(self.now, carried);
+                self.machines[m].next_probe = self.ask_again_at(m);
                 (None, false)
             }
             Outcome::Executed(report) => {
@@ -174,8 +177,8 @@
                         copy.loose = true;
                     }
                 }
-                machine.note_unanswered(self.now);
-                machine.next_probe = self.now + 1.0;
+                machine.note_unanswered(self.now, carried);
+                self.machines[m].next_probe = self.ask_again_at(m);
                 return;
             }
         };
--- a/src/coordination/sharing.rs
+++ b/src/coordination/sharing.rs
@@ -121,10 +121,42 @@
         let machine = &self.machines[m];
         let now = ms(self.now);
         let holder = sharing.keeper.carrier(machine.number, now);
-        // Whom nobody has, a new leader asks with the help of all others; a second time by
-        // itself, for they may not reach what it does.
-        let first = !machine.synced && machine.unanswered_at.is_none();
-        holder.or_else(|| first.then(|| sharing.keeper.helper(machine.number, now))?)
+        match machine.missed() {
+            // Whom nobody has, a new leader asks with the help of all others.
+            Missed {
+                own: false,
+                carried: false,
+            } if holder.is_none() && !machine.synced => sharing.keeper.helper(machine.number, now),
+            // The other way: neither node need reach what the other does. By turns from then on.
+            Missed { own, carried } if own || carried => {
+                let by_other = !carried || (own && self.next_flight.is_multiple_of(2));
+                by_other.then(|| sharing.keeper.any_helper(machine.number, now))?
+            }
+            _ => holder,
+        }
+    }
+
+    /// Whether a machine has answered nobody: neither this node, nor, if there is one, another.
+    /// A leader that had lost its workers, and only it, once returned 446 good machines.
+    pub(super) fn answers_nobody(&self, m: u32) -> bool {
+        let Missed { own, carried } = self.machines[m].missed();
+        own && (carried || !self.has_helper(m))
+    }
+
+    fn has_helper(&self, m: u32) -> bool {
+        let now = ms(self.now);
+        let helper = |s: &Sharing| s.keeper.any_helper(self.machines[m].number, now);
+        self.sharing.as_ref().and_then(helper).is_some()
+    }
+
+    /// When a machine that has not answered is asked again: at once, if it is by another node.
+    pub(super) fn ask_again_at(&self, m: u32) -> Time {
+        let Missed { own, carried } = self.machines[m].missed();
+        if own != carried && self.has_helper(m) {
+            self.now
+        } else {
+            self.now + 1.0
+        }
     }
 
     pub(super) fn holder_of(&self, m: u32) -> Option<u32> {
@@ -313,7 +345,7 @@
         let Some(&m) = self.machine_ids.get(&name) else {
             return;
         };
-        let unanswered_at = self.machines[m].unanswered_at;
+        let before = (self.machines[m].unanswered_at, self.machines[m].missed);
         let outcome = if surely {
             Outcome::Unsent
         } else {
@@ -321,7 +353,7 @@
         };
         self.take_direct(&name, flight, outcome);
         let machine = &mut self.machines[m];
-        machine.unanswered_at = unanswered_at;
+        (machine.unanswered_at, machine.missed) = before;
         machine.next_probe = self.now;
     }
 
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -11,12 +11,6 @@
 
 use world::*;
 
-/// How often machines have changed the node that answers them.
-fn moves(world: &Shared2) -> usize {
-    let w = world.lock().unwrap();
-    w.answered_by.values().map(|by| by.len() - 1).sum()
-}
-
 fn clean(name: &str, seeds: std::ops::Range<u64>, faults: &[(f64, Fault)], loss: f64) {
     for seed in seeds {
         let day = simulate(async {
@@ -27,36 +21,51 @@
     }
 }
 
-/// A service, a gang and an array run while each machine is sent to another node every second:
-/// each task is started once, so none was lost, doubled or stopped.
+/// A service, a gang and an array run through a fault that is none of theirs: each task is
+/// started once, so none was lost, doubled or stopped. Returns how often machines changed the
+/// node that answers them.
+fn nothing_notices(seed: u64, fault: Fault) -> usize {
+    simulate(async {
+        let world = site(seed, 0.0);
+        tokio::spawn(machines(world.clone()));
+        let gang = json!({"one_zone": true, "cpus": 1.0});
+        for (id, shape, tasks, extra) in [
+            (1, "service", 2, json!({"spread": true})),
+            (2, "group", 3, gang),
+            (3, "sweep", 5, json!({"cpus": 1.0})),
+        ] {
+            let body = job(id, shape, tasks, extra);
+            let name = format!("wk-{id:06}");
+            tokio::spawn(user(world.clone(), name, body, 40.0, 1.0, None));
+        }
+        tokio::spawn(inflict(world.clone(), 5.0, fault, seed));
+        sleep(Duration::from_secs(65)).await;
+        let w = world.lock().unwrap();
+        assert_eq!(w.site.broken, [""; 0], "seed {seed}");
+        assert_eq!(w.site.starts, 10, "seed {seed}");
+        for id in [2, 3] {
+            let told = w.site.jobs[&format!("wk-{id:06}")].told;
+            assert_eq!(told, Some("done"), "seed {seed}: job {id}");
+        }
+        w.answered_by.values().map(|by| by.len() - 1).sum()
+    })
+}
+
+/// Each machine is sent to another node every second.
 #[test]
 fn shares_move_under_running_work_and_nothing_notices() {
     for seed in 400..404 {
-        simulate(async {
-            let world = site(seed, 0.0);
-            tokio::spawn(machines(world.clone()));
-            let gang = json!({"one_zone": true, "cpus": 1.0});
-            for (id, shape, tasks, extra) in [
-                (1, "service", 2, json!({"spread": true})),
-                (2, "group", 3, gang),
-                (3, "sweep", 5, json!({"cpus": 1.0})),
-            ] {
-                let body = job(id, shape, tasks, extra);
-                let name = format!("wk-{id:06}");
-                tokio::spawn(user(world.clone(), name, body, 40.0, 1.0, None));
-            }
-            inflict(world.clone(), 5.0, Fault::Scatter(40, 1.0), seed).await;
-            sleep(Duration::from_secs(20)).await;
-            let moves = moves(&world);
-            assert!(moves >= 100, "seed {seed}: {moves} moves");
-            let w = world.lock().unwrap();
-            assert_eq!(w.site.broken, [""; 0], "seed {seed}");
-            assert_eq!(w.site.starts, 10, "seed {seed}");
-            for id in [2, 3] {
-                let told = w.site.jobs[&format!("wk-{id:06}")].told;
-                assert_eq!(told, Some("done"), "seed {seed}: job {id}");
-            }
-        });
+        let moves = nothing_notices(seed, Fault::Scatter(40, 1.0));
+        assert!(moves >= 100, "seed {seed}: {moves} moves");
+    }
+}
+
+/// A leader that had lost its workers, and only it, once returned hundreds of good machines for
+/// their replicas' sake: its own questions went unanswered, and their zones were heard by others.
+#[test]
+fn a_leader_that_reaches_no_machine_leads_through_the_others() {
+    for seed in 404..408 {
+        nothing_notices(seed, Fault::PartLeader(20.0));
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -587,6 +587,8 @@
     Hang(usize, f64),
     /// One of those who do not lead then; it is there again after 3 s.
     KillFollower(usize),
+    /// Whoever leads, from all machines.
+    PartLeader(f64),
     /// Whoever leads, from the state service.
     CutLeader(f64),
     /// From a node to a place, or "*" for everything.
@@ -806,6 +808,21 @@
             let leads = leader(&world).expect("a leader");
             restart(&world, (leads + 1 + which) % NODES, 3.0);
         }
+        Fault::PartLeader(s) => {
+            let leads = node_name(leader(&world).expect("a leader"));
+            let all: Vec<String> = world
+                .lock()
+                .unwrap()
+                .site
+                .machines
+                .keys()
+                .cloned()
+                .collect();
+            let pairs: Vec<_> = all.into_iter().map(|m| (leads.clone(), m)).collect();
+            world.lock().unwrap().cuts.extend(pairs.clone());
+            again(s).await;
+            world.lock().unwrap().cuts.retain(|c| !pairs.contains(c));
+        }
         Fault::CutLeader(s) => {
             let leads = leader(&world).expect("a leader");
             let pair = (node_name(leads), "state".to_string());
