--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -102,11 +102,6 @@
         (self.holder.token(), self.holder.valid_until())
     }
 
-    /// Machines whose reports this node may answer while its grant lasts.
-    pub fn share(&self) -> usize {
-        self.holder.share().count()
-    }
-
     /// A report has come in.
     pub fn hello(&mut self, now: u64, ticket: u64, report: Report) -> Vec<Act> {
         let mut acts = Vec::new();
--- a/crates/shares/src/holder.rs
+++ b/crates/shares/src/holder.rs
@@ -163,8 +163,4 @@
         }
         false
     }
-
-    pub fn share(&self) -> impl Iterator<Item = u32> {
-        self.share.keys().copied()
-    }
 }
--- a/src/coordination/sharing.rs
+++ b/src/coordination/sharing.rs
@@ -285,14 +285,17 @@
             self.silence.heard(&self.machines[m].name, ms(self.now));
         }
         if newer {
-            let (before, session) = (self.machines[m].answered_at, self.machines[m].session);
+            let machine = &self.machines[m];
+            let (answered_at, heard_at) = (machine.answered_at, machine.heard_at);
+            let session = machine.session;
             self.apply_report(m, report, Source::Hello);
             let machine = &mut self.machines[m];
-            machine.heard_at = Some(heard);
+            // Not now, but when the report came in.
+            machine.heard_at = heard_at;
             if machine.session > session {
-                // It had begun when the report came in. Who may have answered it since is
-                // counted as everybody's answers are.
-                machine.answered_at = before.max_of(heard);
+                // It had begun by then. Who may have answered it since is counted as
+                // everybody's answers are.
+                machine.answered_at = answered_at.max_of(heard);
             }
             self.follow_up(m);
         }
