--- a/crates/shares/src/keeper.rs
+++ b/crates/shares/src/keeper.rs
@@ -48,8 +48,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Machine {
     zone: u32,
-    /// Where it last reported, and when.
-    at: u32,
+    /// When it last reported.
     heard: u64,
     /// When it was last sent elsewhere for balance.
     moved: Option<u64>,
@@ -113,7 +112,6 @@
             machine,
             Machine {
                 zone,
-                at: self.me,
                 heard: 0,
                 moved: None,
                 unanswered: 0,
@@ -152,18 +150,22 @@
         seen.up && seen.granted && now >= seen.refused_until
     }
 
+    /// The nodes that carry messages.
+    fn helpers(&self, now: u64) -> Vec<u32> {
+        let all = 0..self.nodes.len() as u32;
+        all.filter(|n| self.carries(*n, now)).collect()
+    }
+
     /// Who may write to a machine that nobody has: by turns one of the nodes that carry
     /// messages, or the leader itself (`None`).
     pub fn helper(&self, machine: u32, now: u64) -> Option<u32> {
-        let all = 0..self.nodes.len() as u32;
-        let helpers: Vec<u32> = all.filter(|n| self.carries(*n, now)).collect();
+        let helpers = self.helpers(now);
         helpers.get(machine as usize % (helpers.len() + 1)).copied()
     }
 
     /// Another node that carries messages to a machine which this one does not reach.
     pub fn any_helper(&self, machine: u32, now: u64) -> Option<u32> {
-        let all = 0..self.nodes.len() as u32;
-        let helpers: Vec<u32> = all.filter(|n| self.carries(*n, now)).collect();
+        let helpers = self.helpers(now);
         (!helpers.is_empty()).then(|| helpers[machine as usize % helpers.len()])
     }
 
@@ -216,7 +218,7 @@
             return Where::Wait;
         };
         let seen = self.machines.get_mut(&machine).expect("as in shares");
-        (seen.at, seen.heard) = (at, now);
+        seen.heard = now;
         let may = match may {
             May::Anybody if now < seen.stays_until => May::Leader,
             may => may,
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -46,13 +46,17 @@
     old: Vec<usize>,
 }
 
+/// What a message takes of the window.
+fn cost(flight: &Flight) -> usize {
+    if flight.carried { CARRIED } else { WHOLE }
+}
+
 impl Core {
     /// Asks a machine for its report.
     pub(super) fn ask(&mut self, m: u32) {
         let flight = self.new_flight();
         self.machines[m].next_probe = self.now + 1.0;
-        let via = self.carrier(m);
-        self.fly(m, flight, Vec::new(), via.is_some());
+        let via = self.fly(m, flight, Vec::new());
         let machine = &self.machines[m];
         self.effects.push(Effect::Inspect {
             machine: machine.name.clone(),
@@ -71,16 +75,19 @@
     }
 
     /// A message is out to a machine, with these starts in it.
-    fn fly(&mut self, m: u32, flight: u64, starts: Vec<CopyKey>, carried: bool) {
-        if carried {
+    /// Through which node, if not from here.
+    fn fly(&mut self, m: u32, flight: u64, starts: Vec<CopyKey>) -> Option<u32> {
+        let via = self.carrier(m);
+        if via.is_some() {
             self.note_carried(m, flight);
         }
         self.machines[m].flight = Some(Flight {
             id: flight,
             since: self.now,
             starts,
-            carried,
+            carried: via.is_some(),
         });
+        via
     }
 
     /// A machine whose report has not come after this long is late.
@@ -122,8 +129,6 @@
                 }
                 out.to_silent += 1;
             }
-            let cost = self.message_cost(m);
-            window = window.saturating_sub(cost);
             let machine = &self.machines[m];
             // Whoever has not learned of this leader is asked first: orders wait three times as
             // long for an answer, and that a machine is gone was known a second later.
@@ -132,14 +137,8 @@
             } else {
                 self.ask(m);
             }
-        }
-    }
-
-    fn message_cost(&self, m: u32) -> usize {
-        if self.carrier(m).is_some() {
-            CARRIED
-        } else {
-            WHOLE
+            let flight = &self.machines[m].flight;
+            window = window.saturating_sub(flight.as_ref().map_or(WHOLE, cost));
         }
     }
 
@@ -156,7 +155,7 @@
             let late = machine.heard_at.is_some_and(|t| self.now - t > late_s);
             out.to_silent += usize::from(machine.on_record || late);
             if self.now - flight.since < YOUNG_S {
-                out.young += if flight.carried { CARRIED } else { WHOLE };
+                out.young += cost(flight);
             } else {
                 out.old[machine.zone as usize] += 1;
             }
@@ -221,8 +220,7 @@
                 })
             })
             .collect();
-        let via = self.carrier(m);
-        self.fly(m, flight, starts, via.is_some());
+        let via = self.fly(m, flight, starts);
         let machine = &self.machines[m];
         self.effects.push(Effect::Direct {
             machine: machine.name.clone(),
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -204,7 +204,7 @@
             return;
         }
         let source = Source::Direct { flight, executed };
-        if (report.session, report.counter) > (machine.session, machine.counter) {
+        if self.is_newer(m, &report) {
             self.apply_report(m, report, source);
         } else if executed {
             // A later report has arrived first, and could not yet say what became of these.
