--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -63,6 +63,10 @@
         ("idle_retrun_s = 60", "idle_retrun_s"),
         ("slot_cpus = 0", "slot_cpus"),
         ("auction_cap = \"many\"", "many"),
+        (
+            "shares = \"some\"",
+            "shares: unknown variant `some`, expected `on` or `off`",
+        ),
     ] {
         let error = Tuning::load(&file("bad.hcl", text))
             .expect_err(text)
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,895 @@
+//! The simulated world of the days in `tests/`: whole controllers against the stand-ins, in
+//! simulated time, seeded.
+#![allow(dead_code)] // Each file of tests uses a part of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use copperfield::service::Service;
+use copperfield::settings::{Settings, Switch, Tuning};
+use copperfield::transport::client::{Answer, CallError, Exchange, Network, within};
+use copperfield::transport::server::Incoming;
+use copperfield_standins::site::{CANCEL_S, Job, LEASE_S, REPORT_S, Site};
+use copperfield_standins::state::StateService;
+use hyper::Method;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep, timeout};
+
+pub const NODES: usize = 3;
+/// Of jobs that users submit in a day, 9 s apart.
+pub const ROUNDS: u32 = 6;
+
+pub struct World {
+    pub site: Site,
+    pub state: StateService,
+    pub services: Vec<Option<Service>>,
+    pub alive: Vec<Arc<AtomicBool>>,
+    /// Nodes that stand still: nothing they read reaches them and nothing they
+    /// have decided leaves, until they go on with both.
+    pub frozen: BTreeSet<String>,
+    /// Pairs that cannot reach each other; packets are held until they can.
+    pub cuts: BTreeSet<(String, String)>,
+    /// Share of answers that are lost.
+    pub loss: f64,
+    /// So many messages to the state service from now, their sender ends: before it leaves, or
+    /// once it has been carried out and before the answer is there.
+    pub trip: Option<(u32, bool)>,
+    /// So many messages between controllers from now, one is lost: the message itself, or what
+    /// was answered.
+    pub drop: Option<(u32, bool)>,
+    /// Whether each node shares the machines with the others.
+    pub shares: [Switch; NODES],
+    /// Where each machine reports.
+    pub targets: BTreeMap<String, usize>,
+    /// Which nodes have answered each machine, without repeats in a row.
+    pub answered_by: BTreeMap<String, Vec<usize>>,
+    pub rng: StdRng,
+    pub start: Instant,
+}
+
+pub type Shared2 = Arc<Mutex<World>>;
+
+pub fn node_name(i: usize) -> String {
+    format!("host-{i}")
+}
+
+impl World {
+    pub fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    fn blocked(&self, a: &str, b: &str) -> bool {
+        let is = |x: &str, y: &str| self.cuts.contains(&(x.to_string(), y.to_string()));
+        is(a, b) || is(b, a) || is(a, "*") || is(b, "*")
+    }
+
+    fn delay(&mut self) -> Duration {
+        Duration::from_micros(self.rng.random_range(500..4000))
+    }
+}
+
+pub fn place(to: SocketAddr) -> String {
+    match (to.ip().to_string().as_str(), to.port()) {
+        ("10.2.0.1", _) => "state".into(),
+        ("10.2.0.2", _) => "cloud".into(),
+        (ip, 9000) => {
+            let number: u64 = ip
+                .rsplit('.')
+                .next()
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
+            format!("vm-{number:06}")
+        }
+        (ip, _) => {
+            let number: usize = ip
+                .rsplit('.')
+                .next()
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(1);
+            node_name(number - 1)
+        }
+    }
+}
+
+pub struct Net {
+    world: Shared2,
+    me: String,
+    alive: Arc<AtomicBool>,
+}
+
+impl Network for Net {
+    /// Each node's clock is off by its own part of what the settings allow.
+    fn unix_ms(&self) -> u64 {
+        let off = [0, 50, 25][self.me.as_bytes()[5] as usize % 3];
+        let passed = self.world.lock().unwrap().start.elapsed().as_millis() as u64;
+        1_700_000_000_000 + passed + off
+    }
+
+    fn call(
+        &self,
+        method: Method,
+        to: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        deadline: Duration,
+    ) -> Exchange<'_> {
+        let path = path.to_string();
+        Box::pin(async move {
+            if !self.alive.load(Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
+            let target = place(to);
+            // Decided, but not sent: here control is lost between the two.
+            thaw(&self.world, &self.me).await;
+            let trips = target == "state" && !path.starts_with("/watch") && {
+                let mut w = self.world.lock().unwrap();
+                w.trip = w.trip.map(|(left, late)| (left.wrapping_sub(1), late));
+                w.trip.is_some_and(|(left, _)| left == u32::MAX)
+            };
+            let sent = deliver(
+                self.world.clone(),
+                self.me.clone(),
+                target.clone(),
+                to.port(),
+                method,
+                path,
+                body,
+            );
+            if trips {
+                let (_, late) = self.world.lock().unwrap().trip.take().expect("looked at");
+                if late {
+                    let _ = sent.await;
+                }
+                restart(
+                    &self.world,
+                    self.me["host-".len()..].parse().unwrap(),
+                    QUICKLY,
+                );
+                std::future::pending::<()>().await;
+                unreachable!("the process has ended");
+            }
+            let dropped = to.port() == 8081 && {
+                let mut w = self.world.lock().unwrap();
+                w.drop = w.drop.map(|(left, answer)| (left.wrapping_sub(1), answer));
+                w.drop.is_some_and(|(left, _)| left == u32::MAX)
+            };
+            if dropped {
+                let (_, answer) = self.world.lock().unwrap().drop.take().expect("looked at");
+                if answer {
+                    tokio::spawn(sent);
+                }
+                sleep(deadline).await;
+                return Err(CallError::Unknown("lost".into()));
+            }
+            let (cut, pooled) = {
+                let mut w = self.world.lock().unwrap();
+                (w.blocked(&self.me, &target), w.rng.random_bool(0.5))
+            };
+            if cut && !pooled {
+                sleep(deadline.min(Duration::from_millis(800))).await;
+                return Err(CallError::Unsent);
+            }
+            // Detached: what was sent arrives, be it minutes after the sender gave up.
+            let carried = tokio::spawn(sent);
+            let result = within(deadline, async {
+                let lost = |_| Err(CallError::Unknown("lost".into()));
+                let result = carried.await.unwrap_or_else(lost);
+                thaw(&self.world, &self.me).await;
+                result
+            });
+            let result = result.await;
+            thaw(&self.world, &self.me).await;
+            if !self.alive.load(Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
+            result
+        })
+    }
+}
+
+pub async fn thaw(world: &Shared2, node: &str) {
+    while world.lock().unwrap().frozen.contains(node) {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn pass(world: &Shared2, from: &str, to: &str) {
+    let delay = world.lock().unwrap().delay();
+    sleep(delay).await;
+    while world.lock().unwrap().blocked(from, to) {
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+pub async fn deliver(
+    world: Shared2,
+    from: String,
+    to: String,
+    port: u16,
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+) -> Result<Answer, CallError> {
+    pass(&world, &from, &to).await;
+    let answer = |(status, value): (u16, Value)| Answer {
+        status,
+        body: value.to_string().into(),
+    };
+    let reply = if to == "state" {
+        if path.starts_with("/watch") {
+            let block: f64 = path
+                .split_once("block_ms=")
+                .and_then(|(_, b)| b.parse().ok())
+                .unwrap_or(0.0);
+            let until = Instant::now() + Duration::from_millis(block as u64);
+            loop {
+                {
+                    let w = world.lock().unwrap();
+                    if let Some(changes) = w.state.changes(&path) {
+                        break answer(changes);
+                    }
+                    if Instant::now() >= until && !w.state.outage {
+                        break answer(w.state.now_empty());
+                    }
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        } else {
+            let mut w = world.lock().unwrap();
+            let now = w.now();
+            answer(w.state.handle(now, method.as_str(), &path, &body))
+        }
+    } else if to == "cloud" {
+        answer(
+            world
+                .lock()
+                .unwrap()
+                .site
+                .cloud(method.as_str(), &path, &body),
+        )
+    } else if to.starts_with("vm-") {
+        loop {
+            let ready = {
+                let w = world.lock().unwrap();
+                let m = w.site.machines.get(&to);
+                m.map(|m| !m.hung && !m.dead && m.up_at <= w.now())
+            };
+            match ready {
+                Some(true) => break,
+                Some(false) => sleep(Duration::from_millis(50)).await,
+                None => std::future::pending().await,
+            }
+        }
+        let mut w = world.lock().unwrap();
+        let site = &mut w.site;
+        let mut status = 200;
+        if path == "/orders" {
+            let orders: Value = serde_json::from_slice(&body).unwrap();
+            let same = site.machines[&to].tenure == orders["tenure"].as_u64().unwrap();
+            if same && site.obey(&to, orders["fence"].as_u64()) {
+                site.execute(&to, &orders["orders"]);
+            } else {
+                status = 409;
+            }
+        }
+        answer((status, site.machines.get_mut(&to).unwrap().report()))
+    } else {
+        let number: usize = to["host-".len()..].parse().unwrap();
+        let service = world.lock().unwrap().services[number].clone();
+        let Some(service) = service else {
+            return Err(CallError::Unsent);
+        };
+        let alive = world.lock().unwrap().alive[number].clone();
+        thaw(&world, &to).await;
+        let request = Incoming {
+            method,
+            path,
+            query: None,
+            authorization: None,
+            body: body.into(),
+        };
+        let out = if port == 8081 {
+            service.peer(request).await
+        } else {
+            service.public(request).await
+        };
+        thaw(&world, &to).await;
+        if !alive.load(Ordering::Relaxed) {
+            return Err(CallError::Unknown("reset".into()));
+        }
+        Answer {
+            status: out.status,
+            body: out.body.into(),
+        }
+    };
+    pass(&world, &to, &from).await;
+    let lost = {
+        let mut w = world.lock().unwrap();
+        let loss = w.loss;
+        w.rng.random_bool(loss)
+    };
+    if lost {
+        std::future::pending::<()>().await;
+    }
+    Ok(reply)
+}
+
+pub fn settings(me: usize) -> Settings {
+    let others: Vec<Value> = (0..NODES)
+        .filter(|&i| i != me)
+        .map(|i| json!({"member": node_name(i), "site": "a", "peer_addr": format!("10.0.0.{}:8081", i + 1)}))
+        .collect();
+    let value = json!({"member": node_name(me), "site": "a", "public_addr": format!("10.0.0.{}:8080", me + 1),
+        "peer_bind": format!("10.0.0.{}:8081", me + 1), "others": others,
+        "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "cluster": {"count": NODES, "zones": ["a", "b"], "teams": [{"name": "team"}], "objectives": [],
+            "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": 20.0, "gang_peer_s": 2.0, "cancel_s": CANCEL_S},
+            "state": {"rps": 400, "write_rps": 100, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 10, "list_lag_s": 1},
+            "limits": {"max_sockets": 1000}, "clock_error_ms": 25}});
+    serde_json::from_value(value).expect("valid settings")
+}
+
+pub fn boot(world: &Shared2, i: usize, seed: u64) {
+    // Two processes of one node are never there at once, however often it is ended.
+    if world.lock().unwrap().services[i].is_some() {
+        return;
+    }
+    let alive = Arc::new(AtomicBool::new(true));
+    let net = Net {
+        world: world.clone(),
+        me: node_name(i),
+        alive: alive.clone(),
+    };
+    let tuning = Tuning {
+        leader_ttl_ms: 1500,
+        shares: world.lock().unwrap().shares[i],
+        ..Tuning::default()
+    };
+    let (service, _) = Service::start(settings(i), tuning, Arc::new(net), seed + i as u64);
+    let mut w = world.lock().unwrap();
+    w.services[i] = Some(service);
+    w.alive[i] = alive;
+}
+
+/// How soon a process may be started again.
+pub const QUICKLY: f64 = 0.1;
+
+/// Ends a process and starts the next one, which is another.
+pub fn restart(world: &Shared2, i: usize, after_s: f64) {
+    kill(world, i);
+    let world = world.clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_secs_f64(after_s)).await;
+        let seed = world.lock().unwrap().rng.random_range(0..1 << 40);
+        boot(&world, i, seed);
+    });
+}
+
+pub fn kill(world: &Shared2, i: usize) {
+    let mut w = world.lock().unwrap();
+    w.alive[i].store(false, Ordering::Relaxed);
+    w.services[i] = None;
+}
+
+/// Machines live and report.
+pub async fn machines(world: Shared2) {
+    let step = 0.05;
+    let mut next: BTreeMap<String, f64> = BTreeMap::new();
+    let busy: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    loop {
+        sleep(Duration::from_secs_f64(step)).await;
+        let mut w = world.lock().unwrap();
+        let now = w.now();
+        w.site.now = now;
+        w.state.tick(now, step);
+        let names: Vec<String> = w.site.machines.keys().cloned().collect();
+        for name in &names {
+            let m = &w.site.machines[name];
+            if m.up_at > now || m.dead {
+                continue;
+            }
+            if m.hung {
+                w.site.end_lease(name);
+                continue;
+            }
+            w.site.live(name, step);
+            let m = &w.site.machines[name];
+            let due = next.entry(name.clone()).or_insert(now);
+            let early = m.changed && now > *due - REPORT_S + 0.3;
+            if (now >= *due || early) && !busy.lock().unwrap().contains(name) {
+                *due = now + REPORT_S;
+                busy.lock().unwrap().insert(name.clone());
+                let name = name.clone();
+                let (world, busy) = (world.clone(), busy.clone());
+                tokio::spawn(async move {
+                    report(&world, &name).await;
+                    busy.lock().unwrap().remove(&name);
+                });
+            }
+        }
+        w.site.gangs();
+        w.site.check_cancelled();
+    }
+}
+
+pub async fn report(world: &Shared2, name: &str) {
+    let (node, body, sent, tenure) = {
+        let mut w = world.lock().unwrap();
+        let now = w.now();
+        let number: usize = name[3..].parse().expect("our own names");
+        let first = number % NODES;
+        let node = *w.targets.entry(name.to_string()).or_insert(first);
+        let Some(m) = w.site.machines.get_mut(name) else {
+            return;
+        };
+        (node, m.report().to_string().into_bytes(), now, m.tenure)
+    };
+    let carried = tokio::spawn(deliver(
+        world.clone(),
+        name.into(),
+        node_name(node),
+        8080,
+        Method::POST,
+        "/hello".into(),
+        body,
+    ));
+    let answer = timeout(Duration::from_secs(2), carried).await;
+    let mut next = Some((node + 1) % NODES);
+    if let Ok(Ok(Ok(answer))) = answer {
+        let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        if answer.status == 200 {
+            next = None;
+            let mut w = world.lock().unwrap();
+            let fits = w
+                .site
+                .machines
+                .get(name)
+                .is_some_and(|m| m.tenure == tenure && !m.hung && !m.dead);
+            if fits && w.site.obey(name, value["fence"].as_u64()) {
+                w.site.answered(name, sent);
+                let by = w.answered_by.entry(name.to_string()).or_default();
+                if by.last() != Some(&node) {
+                    by.push(node);
+                }
+                w.site.execute(name, &value["orders"]);
+            }
+        } else if let Some(leader) = value["controller"].as_str() {
+            next = Some(leader["host-".len()..].parse().unwrap());
+            if next == Some(node) {
+                next = Some((node + 1) % NODES);
+            }
+        }
+    }
+    if let Some(next) = next {
+        world.lock().unwrap().targets.insert(name.into(), next);
+        sleep(Duration::from_millis(300)).await;
+        if let Some(m) = world.lock().unwrap().site.machines.get_mut(name) {
+            m.changed = true;
+        }
+    }
+}
+
+/// One request of a user, through a load balancer that avoids dead nodes.
+pub async fn ask(
+    world: &Shared2,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<(u16, Value)> {
+    let node = {
+        let mut w = world.lock().unwrap();
+        let up: Vec<usize> = (0..NODES).filter(|&i| w.services[i].is_some()).collect();
+        if up.is_empty() {
+            return None;
+        }
+        let pick = w.rng.random_range(0..up.len());
+        up[pick]
+    };
+    let sent = deliver(
+        world.clone(),
+        "user".into(),
+        node_name(node),
+        8080,
+        method,
+        path.into(),
+        body,
+    );
+    match timeout(Duration::from_secs(5), tokio::spawn(sent)).await {
+        Ok(Ok(Ok(answer))) => Some((
+            answer.status,
+            serde_json::from_slice(&answer.body).unwrap_or(Value::Null),
+        )),
+        _ => None,
+    }
+}
+
+/// Submits a job, polls it, and perhaps cancels it.
+pub async fn user(
+    world: Shared2,
+    id: String,
+    body: Value,
+    runtime_s: f64,
+    submit_at: f64,
+    cancel_after: Option<f64>,
+) {
+    sleep(Duration::from_secs_f64(submit_at)).await;
+    let job = Job::uploaded(&body, runtime_s);
+    world.lock().unwrap().site.jobs.insert(id.clone(), job);
+    loop {
+        if let Some((status, _)) =
+            ask(&world, Method::POST, "/work", body.to_string().into_bytes()).await
+        {
+            assert!(
+                status != 400 && status != 422,
+                "a good job is refused with {status}"
+            );
+            if status == 200 || status == 201 {
+                break;
+            }
+        }
+        sleep(Duration::from_secs(1)).await;
+    }
+    let accepted_at = {
+        let mut w = world.lock().unwrap();
+        let now = w.now();
+        w.site.jobs.get_mut(&id).unwrap().accepted = Some(now);
+        now
+    };
+    let path = format!("/work/{id}");
+    loop {
+        sleep(Duration::from_millis(1500)).await;
+        let asked_at = world.lock().unwrap().now();
+        let told_before = world.lock().unwrap().site.jobs[&id].told;
+        let cancel = cancel_after.is_some_and(|after| asked_at > accepted_at + after)
+            && told_before.is_none();
+        let answer = if cancel {
+            world.lock().unwrap().site.jobs.get_mut(&id).unwrap().body["asked"] = json!(true);
+            ask(
+                &world,
+                Method::POST,
+                &format!("{path}/withdraw"),
+                b"{}".to_vec(),
+            )
+            .await
+        } else {
+            ask(&world, Method::GET, &path, Vec::new()).await
+        };
+        if let Some((status, value)) = answer {
+            world
+                .lock()
+                .unwrap()
+                .site
+                .user_told(&id, asked_at, status, value["phase"].as_str());
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+pub enum Fault {
+    Kill(usize),
+    KillAll,
+    /// All end together and are there again after so many seconds.
+    RestartAll(f64),
+    /// Whoever leads then, again as soon as there is a leader, so many times.
+    RestartLeaders(u32, f64),
+    /// The sender of this message to the state service from then on, counted from 0, ends: if
+    /// `true`, after it was carried out.
+    Trip(u32, bool),
+    Freeze(usize, f64),
+    /// Users ask a hundred times a second, also about jobs that nobody submitted.
+    Storm(f64),
+    Outage(f64),
+    Hang(usize, f64),
+    /// One of those who do not lead then; it is there again after 3 s.
+    KillFollower(usize),
+    /// Whoever leads, from the state service.
+    CutLeader(f64),
+    /// From a node to a place, or "*" for everything.
+    Cut(usize, &'static str, f64),
+    /// So many times, so long apart, each machine reports to some other node.
+    Scatter(u32, f64),
+    /// One message between controllers is lost, counted from 0; if `true`, its answer.
+    Drop(u32, bool),
+    /// A machine and all nodes.
+    CutMachine(usize, f64),
+    Die(usize),
+}
+
+pub fn job(id: usize, shape: &str, tasks: u32, extra: Value) -> Value {
+    let mut body = json!({"uid": format!("wk-{id:06}"), "jobclass": shape, "owner": "team", "shape": shape,
+        "rank": if shape == "service" { "production" } else { "normal" }, "shards": tasks, "cpus": 2.0, "gpus": 0.0,
+        "memory_gb": 4.0, "bundle": format!("img-{}", id % 3), "pull_gb": 0.5, "flavors": null, "region": null,
+        "one_zone": false, "spread": false, "preemptibles": false, "runtime_s": 4.0, "snapshot_every_s": 0.0,
+        "snapshot_s": 0.0, "due_s": null});
+    for (k, v) in extra.as_object().unwrap() {
+        body[k] = v.clone();
+    }
+    body
+}
+
+/// Six machines in two zones, and three controllers that have just started.
+pub fn site(seed: u64, loss: f64) -> Shared2 {
+    let world: Shared2 = Arc::new(Mutex::new(World {
+        site: Site::default(),
+        state: StateService::default(),
+        services: vec![None; NODES],
+        alive: vec![Arc::default(); NODES],
+        frozen: BTreeSet::new(),
+        cuts: BTreeSet::new(),
+        loss,
+        trip: None,
+        drop: None,
+        shares: [Switch::On; NODES],
+        targets: BTreeMap::new(),
+        answered_by: BTreeMap::new(),
+        rng: StdRng::seed_from_u64(seed),
+        start: Instant::now(),
+    }));
+    for i in 0..6 {
+        let zone = if i % 2 == 0 { "a" } else { "b" };
+        world.lock().unwrap().site.add_machine(
+            if i < 4 { "small" } else { "big" },
+            zone,
+            false,
+            0.0,
+        );
+    }
+    for i in 0..NODES {
+        boot(&world, i, seed * 1000);
+    }
+    world
+}
+
+/// In simulated time.
+pub fn simulate<T>(day: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build();
+    runtime.unwrap().block_on(day)
+}
+
+/// Plays a day and returns the rules broken, the starts, and which jobs were told done.
+pub fn play(
+    seed: u64,
+    faults: &[(f64, Fault)],
+    loss: f64,
+    until: f64,
+    rounds: u32,
+) -> (Vec<String>, usize, BTreeMap<String, Option<&'static str>>) {
+    simulate(async move {
+        let world = site(seed, loss);
+        play_in(world, seed, faults, until, rounds).await
+    })
+}
+
+/// The same in a world that was made for it.
+pub async fn play_in(
+    world: Shared2,
+    seed: u64,
+    faults: &[(f64, Fault)],
+    until: f64,
+    rounds: u32,
+) -> (Vec<String>, usize, BTreeMap<String, Option<&'static str>>) {
+    tokio::spawn(machines(world.clone()));
+    let mut id = 0;
+    for round in 0..rounds {
+        let at = 1.0 + f64::from(round) * 9.0;
+        let kinds = [
+            ("sweep", 6, json!({}), None),
+            (
+                "service",
+                2,
+                json!({"spread": true}),
+                (round % 3 == 1).then_some(12.0),
+            ),
+            ("group", 3, json!({"one_zone": true, "cpus": 1.0}), None),
+            (
+                "sweep",
+                9,
+                json!({"rank": "urgent", "cpus": 1.0}),
+                (round % 2 == 1).then_some(3.0),
+            ),
+        ];
+        for (shape, tasks, extra, cancel) in kinds {
+            id += 1;
+            let body = job(id, shape, tasks, extra);
+            tokio::spawn(user(
+                world.clone(),
+                format!("wk-{id:06}"),
+                body,
+                4.0,
+                at,
+                cancel,
+            ));
+        }
+    }
+    for (at, fault) in faults.iter().copied() {
+        tokio::spawn(inflict(world.clone(), at, fault, seed));
+    }
+    sleep(Duration::from_secs_f64(until)).await;
+    let w = world.lock().unwrap();
+    assert!(w.trip.is_none(), "no such message: {:?}", w.trip);
+    assert!(w.drop.is_none(), "no such message: {:?}", w.drop);
+    let told = w
+        .site
+        .jobs
+        .iter()
+        .map(|(k, j)| (k.clone(), j.told))
+        .collect();
+    (w.site.broken.clone(), w.site.starts, told)
+}
+
+pub async fn inflict(world: Shared2, at: f64, fault: Fault, seed: u64) {
+    sleep(Duration::from_secs_f64(at)).await;
+    let again = |s: f64| sleep(Duration::from_secs_f64(s));
+    match fault {
+        Fault::Kill(i) => {
+            kill(&world, i);
+            again(3.0).await;
+            boot(&world, i, seed + at as u64);
+        }
+        Fault::KillAll => {
+            (0..NODES).for_each(|i| kill(&world, i));
+            again(3.0).await;
+            (0..NODES).for_each(|i| boot(&world, i, seed + at as u64));
+        }
+        Fault::RestartAll(s) => (0..NODES).for_each(|i| restart(&world, i, s)),
+        Fault::RestartLeaders(times, s) => {
+            for _ in 0..times {
+                let leads = loop {
+                    let alive = |i: &usize| world.lock().unwrap().services[*i].is_some();
+                    if let Some(leads) = leader(&world).filter(alive) {
+                        break leads;
+                    }
+                    again(0.05).await;
+                };
+                restart(&world, leads, s);
+                // The key of its last process stands until it is removed or runs out.
+                again(s + 0.4).await;
+            }
+        }
+        Fault::Scatter(times, every_s) => {
+            for _ in 0..times {
+                {
+                    let w = &mut *world.lock().unwrap();
+                    for node in w.targets.values_mut() {
+                        *node = (*node + w.rng.random_range(1..NODES)) % NODES;
+                    }
+                }
+                again(every_s).await;
+            }
+        }
+        Fault::Drop(left, answer) => world.lock().unwrap().drop = Some((left, answer)),
+        Fault::Trip(left, late) => world.lock().unwrap().trip = Some((left, late)),
+        Fault::Freeze(i, s) => {
+            world.lock().unwrap().frozen.insert(node_name(i));
+            again(s).await;
+            world.lock().unwrap().frozen.remove(&node_name(i));
+        }
+        Fault::Storm(s) => {
+            for _ in 0..(s * 100.0) as usize {
+                again(0.01).await;
+                tokio::spawn(ask_at_random(world.clone()));
+            }
+        }
+        Fault::Outage(s) => {
+            world.lock().unwrap().state.outage = true;
+            again(s).await;
+            let mut w = world.lock().unwrap();
+            let now = w.now();
+            w.state.recover(now);
+        }
+        Fault::Hang(i, s) => {
+            let name = format!("vm-{i:06}");
+            let hang = |hung: bool| {
+                if let Some(m) = world.lock().unwrap().site.machines.get_mut(&name) {
+                    m.hung = hung;
+                }
+            };
+            hang(true);
+            again(s).await;
+            hang(false);
+        }
+        Fault::Cut(i, to, s) => {
+            let pair = (node_name(i), to.to_string());
+            world.lock().unwrap().cuts.insert(pair.clone());
+            again(s).await;
+            world.lock().unwrap().cuts.remove(&pair);
+        }
+        Fault::KillFollower(which) => {
+            let leads = leader(&world).expect("a leader");
+            restart(&world, (leads + 1 + which) % NODES, 3.0);
+        }
+        Fault::CutLeader(s) => {
+            let leads = leader(&world).expect("a leader");
+            let pair = (node_name(leads), "state".to_string());
+            world.lock().unwrap().cuts.insert(pair.clone());
+            again(s).await;
+            world.lock().unwrap().cuts.remove(&pair);
+        }
+        Fault::CutMachine(i, s) => {
+            let pair = (format!("vm-{i:06}"), "*".to_string());
+            world.lock().unwrap().cuts.insert(pair.clone());
+            again(s).await;
+            world.lock().unwrap().cuts.remove(&pair);
+        }
+        Fault::Die(i) => {
+            if let Some(m) = world
+                .lock()
+                .unwrap()
+                .site
+                .machines
+                .get_mut(&format!("vm-{i:06}"))
+            {
+                m.dead = true;
+            }
+        }
+    }
+}
+
+pub async fn ask_at_random(world: Shared2) {
+    let (id, asked_at) = {
+        let mut w = world.lock().unwrap();
+        let number = w.rng.random_range(1..30);
+        (format!("wk-{number:06}"), w.now())
+    };
+    let path = format!("/work/{id}");
+    if let Some((status, value)) = ask(&world, Method::GET, &path, Vec::new()).await {
+        let mut w = world.lock().unwrap();
+        w.site
+            .user_told(&id, asked_at, status, value["phase"].as_str());
+    }
+}
+
+/// Every rule holds, and by the end every job that was not cancelled and can end has ended.
+pub fn expect_clean(name: &str, seeds: std::ops::Range<u64>, faults: &[(f64, Fault)], loss: f64) {
+    expect_clean_by(name, seeds, faults, loss, 150.0, ROUNDS);
+}
+
+pub fn expect_clean_by(
+    name: &str,
+    seeds: std::ops::Range<u64>,
+    faults: &[(f64, Fault)],
+    loss: f64,
+    until: f64,
+    rounds: u32,
+) {
+    for seed in seeds {
+        let day = play(seed, faults, loss, until, rounds);
+        expect_clean_day(name, seed, rounds, day);
+    }
+}
+
+pub fn expect_clean_day(
+    name: &str,
+    seed: u64,
+    rounds: u32,
+    (broken, starts, told): (Vec<String>, usize, BTreeMap<String, Option<&'static str>>),
+) {
+    assert!(broken.is_empty(), "{name}, seed {seed}: {broken:#?}");
+    let least = 9 * rounds as usize;
+    assert!(starts > least, "{name}, seed {seed}: only {starts} starts");
+    let open: Vec<&String> = told
+        .iter()
+        .filter(|(id, told)| told.is_none() && id[3..].parse::<u32>().unwrap() % 4 != 2)
+        .map(|(id, _)| id)
+        .collect();
+    assert!(
+        open.is_empty(),
+        "{name}, seed {seed}: never ended: {open:?}"
+    );
+}
+
+pub fn leader(world: &Shared2) -> Option<usize> {
+    let mut w = world.lock().unwrap();
+    let now = w.now();
+    let (status, found) = w.state.handle(now, "GET", "/kv/cf/leader", b"");
+    let name = (status == 200).then(|| found["data"]["member"].as_str().expect("a name"))?;
+    Some(name["host-".len()..].parse().expect("a number"))
+}
