Leadership: a leader that is refused alone hands over while it is valid

Cause: its lease had to run out (2.5 s) before another could lead; in an outage that began meanwhile nobody was valid.

Now it steps down for good after two failed renewals, if a node says that it is served and sees the leader's key, and that node removes the key, guarded by its stamp. A question for a word under a newer token ends a suspended leadership. Before a node refuses its word it asks the state service anew, and evidence older than 1.3 s is none. Modelled; two mistakes planted and found.

--- a/crates/leadership/src/lib.rs
+++ b/crates/leadership/src/lib.rs
@@ -112,9 +112,14 @@
         self.word_until
     }
 
-    /// Vouches for a leader that cannot renew: the state service refuses this node too
-    /// (`refused`), and it will not campaign for one TTL.
-    pub fn vouch(&mut self, now: u64, refused: bool) -> bool {
+    /// Vouches for the leader of this token that cannot renew: the state service refuses this
+    /// node too (`refused`), and it will not campaign for one TTL. A token newer than its own
+    /// shows that its own key is gone: the leader that was refused alone once stayed suspended
+    /// for as long, and so none was vouched for in an outage that began meanwhile.
+    pub fn vouch(&mut self, now: u64, refused: bool, token: u64) -> bool {
+        if token > self.leading {
+            self.step_down(self.leading);
+        }
         let free =
             self.is_idle() && !self.campaigning && !self.asking && self.leaderless == 0 && refused;
         if free {
--- a/crates/leadership/tests/model.rs
+++ b/crates/leadership/tests/model.rs
@@ -46,6 +46,10 @@
     ReadsTheKeyFirst,
     /// It gives words while its cancellation is out.
     VouchesOverACancellation,
+    /// A leader that hands over leads on until it hears who is next.
+    HandsOverAndGoesOn,
+    /// Who is handed the lead takes its words for void before the key is removed.
+    TakesOverUnheard,
 }
 
 macro_rules! of {
@@ -149,6 +153,8 @@
     founded: (u8, u8),
     epoch: u8,
     out: Vec<Sent>,
+    /// Leaders that have stepped down say so to a node: the version of their key.
+    handed: Vec<(usize, u8)>,
     /// Carried out or refused; the answer has not arrived yet.
     answers: Vec<(Sent, bool)>,
     outage: bool,
@@ -177,6 +183,7 @@
             founded: (0, 0),
             epoch: 0,
             out: Vec::new(),
+            handed: Vec::new(),
             answers: Vec::new(),
             outage: false,
             wrongly_cancelled: false,
@@ -283,7 +290,8 @@
         }
     }
 
-    fn vouches(&mut self, n: usize) -> bool {
+    /// `token`: of the leader that asks.
+    fn vouches(&mut self, n: usize, token: u8) -> bool {
         let refused = !self.served(n);
         let now = self.now;
         let mistake = self.mistake;
@@ -302,7 +310,7 @@
         if campaigns {
             node.own.set_campaigning(false);
         }
-        let vouched = node.own.vouch(at, refused);
+        let vouched = node.own.vouch(at, refused, u64::from(token));
         if buries || asks {
             node.own.set_asking(true);
         }
@@ -507,7 +515,11 @@
                     {
                         return false;
                     }
-                    let vouched = w.vouches(other);
+                    let leads = |token: &u8| w.nodes[n].own.leads(u64::from(*token));
+                    let Some(token) = (1..=w.epoch).find(leads) else {
+                        return false;
+                    };
+                    let vouched = w.vouches(other, token);
                     let all = (1u8 << w.nodes.len()) - 1 - (1 << n);
                     let now = w.now;
                     let back = w.mistake == Mistake::IsVouchedBack;
@@ -528,6 +540,48 @@
                     vouched
                 });
             }
+            for other in (0..self.nodes.len()).filter(|&o| o != n) {
+                then(
+                    of!(other, "can take over, and the leader steps down"),
+                    &|w| {
+                        let key = w.key.filter(|_| w.served(other) && !w.served(n));
+                        let leads = |k: &Key| w.nodes[n].own.leads(u64::from(k.version));
+                        let idle = w.nodes[other].own.is_idle();
+                        let Some(version) = key.filter(|k| leads(k) && idle).map(|k| k.version)
+                        else {
+                            return false;
+                        };
+                        if w.mistake != Mistake::HandsOverAndGoesOn {
+                            w.nodes[n].own.step_down(u64::from(version));
+                            w.nodes[n].asked = None;
+                        }
+                        let told = (other, version);
+                        let new = !w.handed.contains(&told);
+                        w.handed.push(told);
+                        new
+                    },
+                );
+            }
+            then(of!(n, "takes over"), &|w| {
+                let now = w.now;
+                let told = w.handed.iter().position(|(to, _)| *to == n);
+                let node = &mut w.nodes[n];
+                let free = node.own.leads(0) && node.busy == Busy::No;
+                let Some(told) = told.filter(|_| free) else {
+                    return false;
+                };
+                let (_, version) = w.handed.remove(told);
+                let at = node.at(now);
+                node.own.set_asking(true);
+                node.busy = Busy::Buries;
+                if w.mistake == Mistake::TakesOverUnheard {
+                    node.own.released(at);
+                    node.own.set_asking(false);
+                    node.busy = Busy::No;
+                }
+                w.send(n, What::Bury { version });
+                true
+            });
             then(of!(n, "is asked to cancel"), &|w| {
                 let (now, served) = (w.now, w.served(n));
                 let node = &mut w.nodes[n];
@@ -670,6 +724,7 @@
 ];
 /// Where node 1 has not told anyone, and does not know itself, what it did.
 const FORGETS: [&str; 1] = ["node 1 ends, and starts anew"];
+const HANDED: [&str; 1] = ["node 1 can take over, and the leader steps down"];
 /// Node 0 starts anew at once and is about to remove its own key.
 const SEES: [&str; 2] = [
     "node 0 ends, and starts anew",
@@ -801,7 +856,28 @@
             ],
         ),
     ];
-    for (mistake, parts) in cases {
+    let handed: &[(Mistake, &[&[&str]])] = &[
+        (HandsOverAndGoesOn, &[&LEADS, &["node 0 is refused alone"]]),
+        // The message is late: the node that was handed the lead has led, and has given its word
+        // to the next, before a second of that kind arrives.
+        (
+            TakesOverUnheard,
+            &[
+                &LEADS,
+                &["node 0 is refused alone"],
+                &HANDED,
+                &["node 0 is served again"],
+                &LAPSED,
+                &LEADS[..3],
+                &ALL_REFUSED,
+                &["time passes"],
+                &ON_ITS_WORD,
+                &["time passes", "the lease of the key ends"],
+                &["node 1 is served again"],
+            ],
+        ),
+    ];
+    for (mistake, parts) in cases.iter().chain(handed) {
         let history = parts.concat();
         let nodes = match mistake {
             AsksOneOfTheOthers | VouchesWhileItAsks => 3,
@@ -833,3 +909,26 @@
     assert_eq!((world.now, world.is_valid(0)), (0, true));
     assert_eq!(world.nodes[0].process, 1);
 }
+
+/// Handing over is worth nothing unless the next leader is valid before the last one would have
+/// lapsed, and unless a suspended leader lets the next be vouched for.
+#[test]
+fn who_is_handed_the_lead_leads_at_once_and_is_vouched_for() {
+    let taken = [
+        "node 1 takes over",
+        "a transaction is carried out",
+        "node 1 is answered",
+    ];
+    let refused = ["node 0 is refused alone"];
+    let history = [&LEADS[..], &refused, &HANDED, &taken, &OTHER_WINS].concat();
+    let world = after(World::new(2, Mistake::None), &history);
+    assert_eq!((world.now, world.is_valid(1)), (0, true));
+    let mut lapsed = after(
+        World::new(2, Mistake::None),
+        &[&LEADS[..], &refused, &LAPSED, &OTHER_WINS].concat(),
+    );
+    assert!(!lapsed.nodes[0].own.is_idle(), "suspended");
+    let newer = lapsed.key.expect("node 1 has won").version;
+    assert!(lapsed.vouches(0, newer));
+    assert!(lapsed.nodes[0].own.is_idle());
+}
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -20,7 +20,7 @@
         body: Vec<u8>,
     },
     /// The leader cannot renew: does the state service refuse you as well, and
-    /// will you not campaign for one TTL?
+    /// will you not campaign for one TTL? Or does it serve you?
     Vouch { token: u64 },
     /// Are you there?
     Ping,
@@ -34,6 +34,8 @@
     Carry { token: u64, messages: Vec<Carried> },
     /// This node leads now: whoever speaks with machines tells it what they said.
     Leads { member: String },
+    /// From the leader of this token, which has stepped down: remove its key, and campaign.
+    TakeOver { token: u64 },
 }
 
 /// What a holder tells the leader: it asks for a grant and passes on what its machines said.
@@ -138,6 +140,8 @@
     Granted(Downward),
     /// The messages are on their way; what became of them comes with what a holder tells.
     Carrying,
+    /// It does not vouch: the state service serves it, and has the key of the leader that asks.
+    CanTakeOver,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -2,7 +2,7 @@
 //! through the peers when the service refuses this node alone.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -43,6 +43,9 @@
 /// then within a few hundred.
 const ATTEMPT: Duration = Duration::from_millis(900);
 
+/// The leader key is looked at every 0.3 s, by requests that take one attempt at most.
+const EVIDENCE_MS: u64 = 1300;
+
 pub struct Store {
     http: Arc<dyn Network>,
     address: SocketAddr,
@@ -51,8 +54,9 @@
     writes: Budget,
     /// Until when direct requests are not worth a user's time, in ms since `start`.
     avoid_until: AtomicU64,
-    /// Whether the last direct request failed.
-    refused: AtomicBool,
+    /// When a direct request last failed, if none has been answered since; in ms since `start`,
+    /// 0 for none.
+    refused_at: AtomicU64,
     /// When the service last served this node, directly or through a peer.
     served_at: AtomicU64,
     start: Instant,
@@ -74,7 +78,7 @@
             requests: Budget::new(rps, 1.0),
             writes: Budget::new(write_rps, 1.0),
             avoid_until: AtomicU64::new(0),
-            refused: AtomicBool::new(false),
+            refused_at: AtomicU64::new(0),
             served_at: AtomicU64::new(0),
             start: Instant::now(),
             last_peer: Mutex::new(0),
@@ -100,8 +104,11 @@
         self.writes.backlog()
     }
 
+    /// Whether the service does not serve this node, as far as is known from a moment ago: a
+    /// failure that nothing has followed proves nothing of now.
     pub fn is_refused(&self) -> bool {
-        self.refused.load(Ordering::Relaxed)
+        let at = self.refused_at.load(Ordering::Relaxed);
+        at > 0 && self.now_ms() - at.min(self.now_ms()) <= EVIDENCE_MS
     }
 
     /// One direct attempt. 429 is not counted as trouble: it only asks us to slow down.
@@ -119,18 +126,20 @@
         match result {
             Ok(answer) if answer.status < 500 => {
                 self.avoid_until.store(0, Ordering::Relaxed);
-                self.refused.store(false, Ordering::Relaxed);
+                self.refused_at.store(0, Ordering::Relaxed);
                 self.served_at.store(self.now_ms(), Ordering::Relaxed);
                 Ok(answer)
             }
             Ok(answer) => {
-                self.refused.store(true, Ordering::Relaxed);
+                self.refused_at
+                    .store(self.now_ms().max(1), Ordering::Relaxed);
                 self.avoid_until
                     .store(self.now_ms() + 500, Ordering::Relaxed);
                 Err(StoreError::Refused(answer.status))
             }
             Err(error) => {
-                self.refused.store(true, Ordering::Relaxed);
+                self.refused_at
+                    .store(self.now_ms().max(1), Ordering::Relaxed);
                 self.avoid_until
                     .store(self.now_ms() + 1000, Ordering::Relaxed);
                 Err(match error {
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -9,13 +9,15 @@
 //! for it: each confirms that the state service refuses it too, and promises
 //! not to campaign for one TTL. With the word of every other node, and only
 //! while it is still valid, the leader is valid for one TTL - margin from when
-//! it asked. A node that the service refuses alone gets no such word.
+//! it asked. A node that the service refuses alone gets no such word: it hands over, while it is
+//! still valid, to a node that is served.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::bookkeeping::store::{StoreError, call_peer, put};
 use crate::bookkeeping::{FOUNDED, LEADER, SILENCE};
@@ -30,6 +32,12 @@
 const ASK_IDLE: Duration = Duration::from_millis(300);
 /// In the value of [`FOUNDED`]: the last token whose leader knew that it led.
 const LED: &str = "led";
+/// Within this the state service answers a node that it serves.
+const READ_KEY: Duration = Duration::from_millis(300);
+const HAND_OVER: Duration = Duration::from_millis(300);
+/// One renewal may fail by chance.
+const FAILURES: u32 = 2;
+const TRY_AGAIN: Duration = Duration::from_millis(80);
 /// Longer than another node takes to see that there is no leader, and to win.
 const GIVE_WAY: Duration = Duration::from_millis(500);
 
@@ -42,6 +50,11 @@
 pub async fn run(shared: Arc<Shared>, handle: Handle) {
     let ttl = Duration::from_millis(shared.tuning.leader_ttl_ms);
     loop {
+        if let Some(token) = shared.take_handed_over()
+            && remove_key(&shared, token).await
+        {
+            tracing::info!(token, "the key of a leader that cannot renew is removed");
+        }
         match shared.store.get(LEADER, Urgency::Renewal, false).await {
             Ok(Some(item)) => {
                 let member = item.value.get("member").and_then(|m| m.as_str());
@@ -79,7 +92,7 @@
             }
             Err(error) => tracing::debug!(%error, "cannot read the leader key"),
         }
-        sleep(FOLLOW_EVERY).await;
+        let _ = timeout(FOLLOW_EVERY, shared.election_due.notified()).await;
     }
 }
 
@@ -131,6 +144,16 @@
     if led.and_then(|item| item.value.get(LED)?.as_u64()) != Some(token) {
         return false;
     }
+    let removed = remove_key(shared, token).await;
+    if removed {
+        tracing::info!(token, "the key of this node's last process is removed");
+    }
+    removed
+}
+
+/// Removes the leader key of a token whose leader is surely no more, and will not be again.
+/// Then no word that was given until now binds anybody.
+async fn remove_key(shared: &Shared, token: u64) -> bool {
     let drop = Transaction {
         conditions: vec![(LEADER.to_string(), token)],
         changes: vec![Change::Delete {
@@ -141,12 +164,33 @@
     let dropped = shared.store.commit(&drop, Urgency::Renewal, false).await;
     if dropped.is_ok() {
         shared.released();
-        tracing::info!(token, "the key of this node's last process is removed");
     }
     shared.set_asking(false);
     dropped.is_ok()
 }
 
+/// What this node says to a leader that cannot renew. What it knows of the state service from a
+/// moment ago is enough to vouch; before it says no, it asks anew.
+pub async fn answer_to_leader(shared: &Shared, token: u64) -> PeerReply {
+    if shared.vouch(token) {
+        return PeerReply::Vouched;
+    }
+    let key = shared.store.get(LEADER, Urgency::Renewal, false);
+    let key = timeout(READ_KEY, key).await;
+    if let Ok(Ok(Some(key))) = &key
+        && key.version == token
+        && shared.is_idle()
+        && !shared.stands_back()
+    {
+        return PeerReply::CanTakeOver;
+    }
+    if shared.vouch(token) {
+        PeerReply::Vouched
+    } else {
+        PeerReply::Unable
+    }
+}
+
 /// Tells later processes of this node that the leader of this token knew that it led, and so
 /// gave its word to nobody.
 async fn leave_a_mark(shared: Arc<Shared>, token: u64) {
@@ -215,8 +259,9 @@
     tokio::spawn(leave_a_mark(shared.clone(), won.token));
     let every = ttl / 6;
     let mut on_word = false;
+    let mut failures = 0;
     loop {
-        sleep(every).await;
+        sleep(if failures == 1 { TRY_AGAIN } else { every }).await;
         if !shared.leads(won.token) {
             break;
         }
@@ -229,19 +274,27 @@
                 if shared.valid_for().is_zero() || on_word {
                     tracing::info!(token = won.token, "lease renewed after a pause");
                 }
-                on_word = false;
+                (on_word, failures) = (false, 0);
                 shared.renewed(sent);
             }
             Err(StoreError::NoLease) => break,
             Err(error) => {
                 tracing::debug!(%error, "renewal failed");
                 let asked = Instant::now();
-                let vouched = all_vouch(shared, won.token, left).await;
-                if vouched && shared.vouched_for(asked) {
+                let others = ask_others(shared, won.token, left).await;
+                if others == Others::Vouch && shared.vouched_for(asked) {
                     if !on_word {
                         tracing::info!(%error, "cannot renew; all other nodes vouch");
                     }
-                    on_word = true;
+                    (on_word, failures) = (true, 0);
+                    continue;
+                }
+                failures += 1;
+                if let Others::CanTakeOver(peer) = others
+                    && failures >= FAILURES
+                {
+                    hand_over(shared, handle, won.token, peer).await;
+                    return;
                 }
             }
         }
@@ -253,11 +306,52 @@
     handle.send(Command::Lost { token: won.token }).await;
 }
 
-async fn all_vouch(shared: &Shared, token: u64, deadline: Duration) -> bool {
-    let vouched = |reply| matches!(reply, PeerReply::Vouched).then_some(());
-    let request = PeerRequest::Vouch { token };
-    let all = all_answer(shared, &request, deadline, vouched).await;
-    all.is_some()
+/// A leader that the state service refuses alone gives way while it is valid, to a node that is
+/// served, and steps down for good before it says so. Its lease once had to run out: nobody was
+/// valid for a second or two, and where an outage of all began in them, for as long as that, so
+/// that every worker's lease ran out.
+async fn hand_over(shared: &Shared, handle: &Handle, token: u64, to: SocketAddr) {
+    shared.step_down(token);
+    tracing::info!(token, "cannot renew and another node can: handing over");
+    // Before it hears who leads next.
+    handle.send(Command::Lost { token }).await;
+    let told = PeerRequest::TakeOver { token };
+    call_peer(shared.http.as_ref(), to, &told, HAND_OVER).await;
+}
+
+/// What the others say to a leader that cannot renew.
+#[derive(Debug, PartialEq)]
+enum Others {
+    /// All vouch.
+    Vouch,
+    /// This one is served.
+    CanTakeOver(SocketAddr),
+    Neither,
+}
+
+async fn ask_others(shared: &Shared, token: u64, deadline: Duration) -> Others {
+    let mut asked = tokio::task::JoinSet::new();
+    for peer in &shared.settings.others {
+        let (http, address) = (shared.http.clone(), peer.peer_addr);
+        asked.spawn(async move {
+            let request = PeerRequest::Vouch { token };
+            let reply = call_peer(http.as_ref(), address, &request, deadline).await;
+            (address, reply)
+        });
+    }
+    let mut all_vouch = true;
+    while let Some(reply) = asked.join_next().await {
+        match reply {
+            Ok((_, Some(PeerReply::Vouched))) => {}
+            Ok((address, Some(PeerReply::CanTakeOver))) => return Others::CanTakeOver(address),
+            _ => all_vouch = false,
+        }
+    }
+    if all_vouch {
+        Others::Vouch
+    } else {
+        Others::Neither
+    }
 }
 
 /// What is wanted of each reply, if all other nodes give one that has it.
--- a/src/service.rs
+++ b/src/service.rs
@@ -579,13 +579,9 @@
                 self.shared.store.pass_on(&method, &path, body).await
             }
             PeerRequest::Vouch { token } => {
-                let vouched = self.shared.vouch();
-                tracing::debug!(token, vouched, "asked to vouch");
-                if vouched {
-                    PeerReply::Vouched
-                } else {
-                    PeerReply::Unable
-                }
+                let reply = election::answer_to_leader(&self.shared, token).await;
+                tracing::debug!(token, ?reply, "asked to vouch");
+                reply
             }
             PeerRequest::Ping => PeerReply::Pong,
             PeerRequest::Idle if self.shared.is_idle() => PeerReply::Idle {
@@ -606,6 +602,10 @@
                     PeerReply::Unable
                 }
             }
+            PeerRequest::TakeOver { token } => {
+                self.shared.hand_over(token);
+                PeerReply::Pong
+            }
             PeerRequest::Leads { member } => {
                 self.handle.send(Command::LeaderSeen(Some(member))).await;
                 PeerReply::Pong
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -9,6 +9,7 @@
 use copperfield_leadership::{Leadership, MARGIN_MS};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::bookkeeping::store::Store;
@@ -42,6 +43,10 @@
     peer_heard: AtomicU64,
     /// Until when requests may have lain in a socket while this process stood still.
     stale_until: AtomicU64,
+    /// The token of a leader that has stepped down for this node, 0 for none.
+    handed_over: AtomicU64,
+    /// The leader key is to be looked at now.
+    pub election_due: Notify,
 }
 
 impl Shared {
@@ -69,6 +74,8 @@
             stand_back_until: AtomicU64::new(0),
             peer_heard: AtomicU64::new(0),
             stale_until: AtomicU64::new(0),
+            handed_over: AtomicU64::new(0),
+            election_due: Notify::new(),
             settings,
             tuning,
         }
@@ -179,9 +186,9 @@
         self.leadership(|l, now| l.has_promised(now))
     }
 
-    pub fn vouch(&self) -> bool {
+    pub fn vouch(&self, token: u64) -> bool {
         let refused = self.store.is_refused();
-        self.leadership(|l, now| l.vouch(now, refused))
+        self.leadership(|l, now| l.vouch(now, refused, token))
     }
 
     pub fn begin_leaderless(&self) -> bool {
@@ -208,6 +215,17 @@
         self.leadership(|l, now| l.released(now));
     }
 
+    /// The leader of this token has stepped down, and wants this node to lead.
+    pub fn hand_over(&self, token: u64) {
+        self.handed_over.store(token, Ordering::Relaxed);
+        self.election_due.notify_one();
+    }
+
+    /// The key to remove, if a leader has handed over.
+    pub fn take_handed_over(&self) -> Option<u64> {
+        Some(self.handed_over.swap(0, Ordering::Relaxed)).filter(|token| *token > 0)
+    }
+
     /// This process stood still: what came in meanwhile may be of users that have
     /// given up.
     pub fn note_pause(&self) {
