--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -362,14 +362,18 @@
     );
     p.wait(0.3);
     let a = started(&p.text);
-    p.direct("vm-000001", 4, "refuses: nothing executed", Outcome::Unsent);
+    p.direct("vm-000001", 4, "cannot be reached", Outcome::Unsent);
     p.now = 109.0;
+    p.note("it reports; before it gets the start once more it has to answer");
     p.hello("vm-000001", 4, running.clone());
+    let report = p.report("vm-000001", 4, TOKEN, running.clone());
+    p.direct("vm-000001", 5, "answers", Outcome::Executed(report));
+    p.wait(0.3);
     let both = json!([{"shard": "wk-000001/0", "try": 3, "phase": "running"}, {"shard": "wk-000003/0", "try": a + 1, "phase": "running"}]);
     let report = p.report("vm-000001", 4, TOKEN, both);
     p.direct(
         "vm-000001",
-        5,
+        7,
         "executes the commands",
         Outcome::Executed(report),
     );
