--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -354,6 +354,7 @@
                 runtime_s,
                 accepted: Some(0.0),
                 told_at: 0.0,
+                answered_at: 0.0,
                 cancelled_at: None,
                 done: vec![false; 100_000],
                 told: None,
--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -29,6 +29,8 @@
     pub done: Vec<bool>,
     pub told: Option<&'static str>,
     pub told_at: f64,
+    /// When a question about it was last answered.
+    pub answered_at: f64,
 }
 
 impl Job {
@@ -43,6 +45,7 @@
             done: vec![false; tasks],
             told: None,
             told_at: 0.0,
+            answered_at: 0.0,
         }
     }
 }
@@ -617,6 +620,9 @@
             }
             return;
         };
+        if status == 200 {
+            job.answered_at = self.now;
+        }
         let before = job.told;
         let accepted = job.accepted;
         let all_done = job.done.iter().all(|d| *d);
@@ -656,6 +662,20 @@
         }
     }
 
+    /// No trouble is left, and users have gone on asking: an accepted job about which no question
+    /// was answered for so long is forgotten.
+    pub fn check_answered(&mut self, within_s: f64) {
+        let now = self.now;
+        let forgotten = |j: &Job| {
+            let since = j.accepted.map(|at| j.answered_at.max(at));
+            since.is_some_and(|at| now - at > within_s)
+        };
+        let all = self.jobs.iter().filter(|(_, j)| forgotten(j));
+        for id in all.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.breaks("forgotten", &format!("{id}, unanswered for {within_s} s"));
+        }
+    }
+
     /// A machine's lease was just renewed, and what came with that is carried out. Nothing may
     /// be on it by then whose job was told cancelled so long ago that the lease outlives the
     /// time a cancellation has.
--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -330,6 +330,7 @@
             cancelled_at: None,
             done: vec![false; 2],
             told: None,
+            answered_at: 0.0,
         };
         site.jobs.insert(format!("wk-{id:06}"), job);
     };
@@ -373,4 +374,19 @@
         rules,
         ["not_done:", "went_back:", "forgotten:", "invented:"]
     );
+    site.now = 80.0;
+    site.jobs.get_mut("wk-000002").unwrap().answered_at = 70.0;
+    site.check_answered(75.0);
+    let broken = site.broken.split_off(4);
+    let forgotten = |id: &str| format!("80.0 forgotten: {id}, unanswered for 75 s");
+    let unanswered = ["wk-000001", "wk-000003", "wk-000004", "wk-000005"];
+    assert_eq!(broken, unanswered.map(forgotten));
+    // The lease of `d` is renewed while a task of the cancelled job is on it.
+    site.check_renewed(&d);
+    let renewed = site.broken.pop().expect("it is broken");
+    assert_eq!(
+        renewed,
+        format!("80.0 renewed_cancelled: wk-000005/0 on {d}")
+    );
+    assert_eq!(site.broken.len(), 4);
 }
