Model of the cancellation: the service carries a transaction out in one place

Read again: two steps of the model had the guards of a transaction written out each. The same model, assertions and planted mistakes; both of its tests pass. No source of the program changes.

--- a/crates/leadership/tests/cancellation.rs
+++ b/crates/leadership/tests/cancellation.rs
@@ -154,6 +154,18 @@
         stops || before != (self.leased, self.token)
     }
 
+    /// The service carries the transaction out, if it serves; whether its guards held.
+    fn carry_out(&mut self) -> Option<(Sent, bool)> {
+        let sent = self.out.filter(|_| !self.outage)?;
+        let key = self.key.map_or(0, |(_, version, _)| version);
+        let unguarded = self.mistake == Mistake::CancelsUnguarded;
+        let guarded = key == sent.leader && (sent.leader > 0 || sent.founded == self.founded);
+        let held = !self.stored && (unguarded || guarded);
+        self.stored |= held;
+        self.out = None;
+        Some((sent, held))
+    }
+
     /// What became of the transaction, as far as its sender hears.
     fn hears(&mut self, sent: Sent, held: Option<bool>) {
         if self.nodes[sent.node].process != sent.process {
@@ -210,31 +222,20 @@
             std::mem::take(&mut w.outage)
         });
         then("the transaction is carried out, and answered", &|w| {
-            let Some(sent) = w.out.filter(|_| !w.outage) else {
-                return false;
-            };
-            let key = w.key.map_or(0, |(_, version, _)| version);
-            let unguarded = mistake == Mistake::CancelsUnguarded;
-            let guarded = key == sent.leader && (sent.leader > 0 || sent.founded == w.founded);
-            let held = !w.stored && (unguarded || guarded);
-            w.stored |= held;
-            w.out = None;
-            w.hears(sent, Some(held));
-            true
+            let carried = w.carry_out();
+            if let Some((sent, held)) = carried {
+                w.hears(sent, Some(held));
+            }
+            carried.is_some()
         });
         then(
             "the transaction is carried out, and nobody hears of it",
             &|w| {
-                let Some(sent) = w.out.filter(|_| !w.outage) else {
-                    return false;
-                };
-                let key = w.key.map_or(0, |(_, version, _)| version);
-                let unguarded = mistake == Mistake::CancelsUnguarded;
-                let guarded = key == sent.leader && (sent.leader > 0 || sent.founded == w.founded);
-                w.stored |= unguarded || guarded;
-                w.out = None;
-                w.hears(sent, None);
-                true
+                let carried = w.carry_out();
+                if let Some((sent, _)) = carried {
+                    w.hears(sent, None);
+                }
+                carried.is_some()
             },
         );
         then("the transaction is given up, and may still land", &|w| {
