--- a/crates/standins/src/site.rs
+++ b/crates/standins/src/site.rs
@@ -643,6 +643,23 @@
         }
     }
 
+    /// A machine's lease was just renewed, and what came with that is carried out. Nothing may
+    /// be on it by then whose job was told cancelled so long ago that the lease outlives the
+    /// time a cancellation has.
+    pub fn check_renewed(&mut self, machine: &str) {
+        let latest = self.now - (CANCEL_S - LEASE_S * DRIFT);
+        let long_cancelled = |t: &&String| {
+            let told = self.jobs[Self::job_of(t)].cancelled_at;
+            told.is_some_and(|at| at < latest)
+        };
+        let m = &self.machines[machine];
+        let on = m.tasks.keys().filter(|t| m.on(t));
+        let kept: Vec<String> = on.filter(long_cancelled).cloned().collect();
+        for task in kept {
+            self.breaks("renewed_cancelled", &format!("{task} on {machine}"));
+        }
+    }
+
     /// Tasks that are somewhere although their job was cancelled long ago.
     pub fn check_cancelled(&mut self) {
         let late: Vec<String> = self
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -423,7 +423,9 @@
             JobState::Finishing => CancelBegin::Busy,
             JobState::Live | JobState::Cancelling => {
                 self.jobs[ix].state = JobState::Cancelling;
-                self.drop_queued(ix);
+                // Before it is stored: whether it was may stay unknown for as long as the state
+                // service is down, while another node has read that it was, and told the user.
+                self.stop_all_of(ix);
                 CancelBegin::Go {
                     done: self.jobs[ix].done,
                 }
@@ -466,15 +468,17 @@
             self.free_if_over(ix);
             return;
         }
-        self.drop_queued(ix);
+        // The last of them to go frees the job.
+        self.stop_all_of(ix);
+    }
+
+    /// Nothing of a job starts any more, and all of it that may be on a machine is stopped.
+    fn stop_all_of(&mut self, ix: u32) {
         for m in self.machines.indices() {
             for key in self.copies_of(m, ix) {
-                if self.machines[m].copies[&key].exit().is_none() {
-                    self.stop_copy(m, key, 0.0);
-                }
+                self.stop_copy(m, key, 0.0);
             }
         }
-        self.free_if_over(ix);
     }
 
     pub(super) fn copies_of(&self, m: u32, job: u32) -> Vec<CopyKey> {
@@ -495,17 +499,6 @@
             .collect()
     }
 
-    /// Starts of a job that were decided but have not left.
-    pub(super) fn drop_queued(&mut self, ix: u32) {
-        for m in self.machines.indices() {
-            for key in self.copies_of(m, ix) {
-                if self.machines[m].copies[&key].sent == Sent::Queued {
-                    self.unqueue(m, key);
-                }
-            }
-        }
-    }
-
     pub(super) fn unqueue(&mut self, m: u32, key: CopyKey) {
         let id = self.jobs[key.job].spec.id;
         self.machines[m].outbox.retain(|c| {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -60,7 +60,8 @@
     Live,
     /// Every task is done; the end is being stored.
     Finishing,
-    /// Its user has asked to cancel it; nothing new is started.
+    /// Its user has asked to cancel it; nothing new is started and all of it is stopped, though
+    /// it is not known yet whether that is stored.
     Cancelling,
     /// Over, and stored so. Kept while a machine may still hold something of it.
     Over(Standing),
@@ -134,6 +135,11 @@
         self.spec.tasks - self.done - self.active
     }
 
+    /// Its user has asked to cancel it, or it is over: what is still of it anywhere is stopped.
+    pub fn is_ending(&self) -> bool {
+        matches!(self.state, JobState::Cancelling | JobState::Over(_))
+    }
+
     pub fn is_gang(&self) -> bool {
         self.spec.kind == Kind::Gang
     }
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -389,7 +389,7 @@
         }
         let runs_well = is_running && copy.running_since.is_some_and(|t| now - t > RUNS_WELL_S);
         let still_possible = copy.possible();
-        let over = matches!(self.jobs[key.job].state, JobState::Over(_));
+        let ending = self.jobs[key.job].is_ending();
         let stopping = copy.stop.is_some();
         let job = &mut self.jobs[key.job];
         job.running = job.running + u32::from(is_running) - u32::from(was_running);
@@ -406,7 +406,7 @@
             if was_possible && !still_possible {
                 self.release(m, key);
             }
-        } else if over && !stopping {
+        } else if ending && !stopping {
             self.stop_copy(m, key, 0.0);
         }
     }
