Limits count what cancelled jobs may still hold on silent machines

A new leader bounded what unheard machines hold of a limited team by the team's live jobs; a job cancelled before the election is none of them, and strays counted for nobody. Core test: a start over the limit 0.05 s after the election; now after the lease (25.0 to 27.5 s) or once the stray is gone.

--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -80,7 +80,7 @@
         }
         let machine = &mut self.machines[m];
         machine.outbox.clear();
-        machine.strays = false;
+        machine.strays = Strays::None;
     }
 
     /// Orders a copy to stop. Repeated with each report until it has an effect.
@@ -193,7 +193,7 @@
         machine.synced
             && !machine.returning
             && !machine.draining
-            && !machine.strays
+            && machine.strays == Strays::None
             && !machine.unreached
             && machine.recorded
             && !machine.on_record
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -382,7 +382,7 @@
             self.config.tuning.deserted_return_s
         };
         for (_, m) in self.machines.iter_mut() {
-            let empty = m.copies.is_empty() && !m.strays && m.flight.is_none();
+            let empty = m.copies.is_empty() && m.strays == Strays::None && m.flight.is_none();
             if empty && !waiting && !m.draining && m.idle_since.is_some_and(|t| now - t > idle_s) {
                 m.returning = true;
             }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -239,6 +239,16 @@
     }
 }
 
+/// Tasks on a machine of jobs that this leader does not know: over, most of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Strays {
+    None,
+    /// They have ended, and are to be forgotten.
+    Ended,
+    /// They take room of the machine, and of some team.
+    Run,
+}
+
 #[derive(Debug, Clone)]
 pub struct Flight {
     pub id: u64,
@@ -296,7 +306,7 @@
     pub copies: BTreeMap<CopyKey, Copy>,
     pub used: Amounts,
     /// Tasks were reported that nobody knows; their room is unknown too.
-    pub strays: bool,
+    pub strays: Strays,
     pub outbox: Vec<Command>,
     pub flight: Option<Flight>,
     /// Its page of the roster.
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -9,7 +9,7 @@
 
 use super::messages::{Effect, Outcome, Source};
 use super::model::*;
-use super::state::Core;
+use super::state::{Core, TeamUse};
 
 /// Steady clocks drift apart by 0.05% each way; timers and queues add a little.
 const DRIFT: f64 = 1.001;
@@ -42,7 +42,7 @@
             reclaim_at: None,
             copies: BTreeMap::new(),
             used: Amounts::default(),
-            strays: false,
+            strays: Strays::None,
             outbox: Vec::new(),
             flight: None,
             page: None,
@@ -294,7 +294,7 @@
         }
         self.enlist(m);
         let mut listed = BTreeSet::new();
-        let mut strays = false;
+        let mut strays = Strays::None;
         for t in &report.tasks {
             let known = self
                 .job_ids
@@ -302,7 +302,8 @@
                 .copied()
                 .filter(|&ix| (t.task as usize) < self.jobs[ix].tasks.len());
             let Some(job) = known else {
-                strays = true;
+                let exited = matches!(t.phase, TaskPhase::Exited(_));
+                strays = strays.max(if exited { Strays::Ended } else { Strays::Run });
                 continue;
             };
             let key = CopyKey {
@@ -344,7 +345,7 @@
             self.gang_lost_task(key);
         }
         self.machines[m].strays = strays;
-        if strays {
+        if strays != Strays::None {
             self.clear_strays(m, &report.tasks);
         }
         if noticed {
@@ -352,7 +353,7 @@
         }
         let idle = self.machines[m].copies.is_empty();
         let machine = &mut self.machines[m];
-        if idle && !strays {
+        if idle && strays == Strays::None {
             machine.idle_since.get_or_insert(now);
         } else {
             machine.idle_since = None;
@@ -676,32 +677,31 @@
             .collect()
     }
 
-    /// What silent machines may hold of each limited team: at most all of them, and at
-    /// most what has been started of its old jobs and not been found. Jobs that came
-    /// after the election were once started beside that, over the team's limit.
+    /// What machines may hold of each limited team that this leader does not know: all that is
+    /// free of those that have not been heard, and of those on which something runs that it does
+    /// not know. Not only of jobs that it has read: a job that was cancelled before the election is
+    /// stored as over, and its tasks go on where the order to stop has not arrived. Bounded by
+    /// what is left of the jobs that are known, the team once went over its limit beside them.
     fn count_unknown(&mut self, unheard: &[u32], unknown: bool) {
-        for team in 0..self.teams.len() {
-            let most = &self.teams[team].most;
-            let mut hidden = Amounts::default();
-            if (most.cpus > 0 || most.gpus > 0) && (unknown || !unheard.is_empty()) {
-                let live = self.jobs.iter().filter(|(_, j)| j.old);
-                for (_, job) in live.filter(|(_, j)| j.team as usize == team) {
-                    let left = i64::from(job.waiting());
-                    hidden.cpus += job.spec.needs.cpus * left;
-                    hidden.gpus += job.spec.needs.gpus * left;
-                }
-                let mut wholes = Amounts::default();
-                for &m in unheard {
-                    if let Some(kind) = self.types.get(self.machines[m].kind) {
-                        wholes.add(&kind.whole);
-                    }
-                }
-                if !unknown {
-                    hidden.cpus = hidden.cpus.min(wholes.cpus);
-                    hidden.gpus = hidden.gpus.min(wholes.gpus);
-                }
-            }
-            self.teams[team].unknown = hidden;
+        let limited = |t: &TeamUse| t.most.cpus > 0 || t.most.gpus > 0;
+        if !self.teams.iter().any(limited) {
+            return;
+        }
+        let strange = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.strays == Strays::Run);
+        let mut hidden = Amounts::default();
+        let mut unknown = unknown;
+        for m in unheard.iter().copied().chain(strange.map(|(m, _)| m)) {
+            unknown |= self.types.get(self.machines[m].kind).is_none();
+            let free = self.free_room(m);
+            hidden.cpus += free.cpus.max(0);
+            hidden.gpus += free.gpus.max(0);
+        }
+        for team in self.teams.iter_mut().filter(|t| limited(t)) {
+            // Where not even the machines are known, the limit may be reached already.
+            team.unknown = if unknown { team.most } else { hidden };
         }
     }
 
@@ -710,7 +710,7 @@
     /// Once one taken spot machine held back every service for a whole lease.
     pub(super) fn settle(&mut self) {
         if self.settled {
-            return;
+            return self.count_unknown(&[], false);
         }
         let unheard = self.unheard();
         let unknown = self.unknown_machines && self.now <= self.elected_at + self.lease_surely_s();
@@ -731,8 +731,9 @@
         }
         self.count_unknown(&unheard, unknown);
         let blocked = self.jobs.iter().filter(|(_, j)| j.blocked).count();
+        let limits = self.teams.iter().any(|t| t.unknown != Amounts::default());
         self.settled = unheard.is_empty() && !unknown;
-        if blocked > 0 {
+        if blocked > 0 || limits {
             self.give_up_unheard(&unheard);
         }
         if was != blocked || self.settled {
--- a/tests/inherited.rs
+++ b/tests/inherited.rs
@@ -1,6 +1,6 @@
 //! What a new leader finds of an earlier one that ended between two orders.
 
-use copperfield::bookkeeping::{MachineRecord, RosterPage, Snapshot};
+use copperfield::bookkeeping::{MachineRecord, RosterPage, Snapshot, StoredJob};
 use copperfield::coordination::core::{Config, Core, Effect, Input, Outcome};
 use copperfield::protocol::JobId;
 use copperfield::protocol::cloud::parse_types;
@@ -16,13 +16,18 @@
 
 /// A leader that was elected at 0, of one gang of three, on two machines.
 fn elected() -> Core {
-    let cluster = json!({"zones": ["a"], "teams": [{"name": "team"}], "objectives": [],
+    let body = json!({"uid": "wk-000001", "shape": "group", "shards": 3, "cpus": 1.0,
+        "one_zone": true, "runtime_s": 60.0});
+    elected_with(json!({"name": "team"}), vec![stored(&body, TOKEN - 1)])
+}
+
+/// A leader that was elected at 0, of one team, on two machines.
+fn elected_with(team: serde_json::Value, jobs: Vec<StoredJob>) -> Core {
+    let cluster = json!({"zones": ["a"], "teams": [team], "objectives": [],
             "workers": {"report_s": 5.0, "lease_s": 25.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0, "cancel_s": 40.0},
             "state": {"rps": 200, "write_rps": 50, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 5},
             "limits": {"max_sockets": 3000}});
     let cluster: Cluster = serde_json::from_value(cluster).expect("valid");
-    let body = json!({"uid": "wk-000001", "shape": "group", "shards": 3, "cpus": 1.0,
-        "one_zone": true, "runtime_s": 60.0});
     let record = |name: &&str| {
         let record = MachineRecord {
             address: "10.1.0.1:9000".into(),
@@ -34,7 +39,7 @@
         (name.to_string(), record)
     };
     let snapshot = Snapshot {
-        jobs: vec![stored(&body, TOKEN - 1)],
+        jobs,
         roster: vec![RosterPage {
             page: 0,
             version: 5,
@@ -49,8 +54,12 @@
 
 /// What a machine says that has learned of the new leader: the gang's tasks on it, by attempt.
 fn report(machine: &str, counter: u64, tasks: &[(u32, u64)]) -> Report {
+    report_of(JobId(1), machine, counter, tasks)
+}
+
+fn report_of(job: JobId, machine: &str, counter: u64, tasks: &[(u32, u64)]) -> Report {
     let task = |&(task, attempt): &(u32, u64)| TaskReport {
-        job: JobId(1),
+        job,
         task,
         attempt,
         phase: TaskPhase::Waiting,
@@ -123,3 +132,89 @@
 fn a_whole_attempt_is_left_alone() {
     assert_eq!(stopped(&[(0, 7), (1, 7)], &[(2, 7)]), []);
 }
+
+/// Of the one machine, in the second `at`: `None` while it hangs.
+type Says = fn(at: u32) -> Option<&'static [(u32, u64)]>;
+
+/// A team may use 4 CPUs. The last leader had 4 tasks of a job on the first machine, cancelled the
+/// job, told its user, and ended before the machine had heard of it; the state knows no such job
+/// any more. Users go on submitting: when the first start leaves for the second machine, which
+/// could hold it all.
+fn first_start(first: Says) -> Option<f64> {
+    let mut core = elected_with(json!({"name": "team", "cpus_max": 4.0}), Vec::new());
+    let body = json!({"uid": "wk-000002", "shards": 4, "cpus": 1.0, "runtime_s": 60.0});
+    let mut inputs = vec![Input::Job(stored(&body, TOKEN + 1))];
+    for step in 1..(50 * 20) {
+        let now = f64::from(step) * 0.05;
+        if step % 20 == 1 {
+            let at = step / 20;
+            let says = [(0, first(at)), (1, Some(&[][..]))];
+            for (m, tasks) in says {
+                let Some(tasks) = tasks else { continue };
+                let report = report_of(JobId(9), MACHINES[m], 10 + u64::from(at), tasks);
+                let ticket = u64::from(step) * 2 + m as u64;
+                inputs.push(Input::Report { ticket, report });
+            }
+        }
+        core.valid_until = now + 2.0;
+        for effect in core.step(now, std::mem::take(&mut inputs)) {
+            match effect {
+                Effect::Direct {
+                    machine,
+                    flight,
+                    commands,
+                    ..
+                } => {
+                    if commands.iter().any(|c| c.verb == Verb::Start) {
+                        return Some(now);
+                    }
+                    let outcome = Outcome::Unknown;
+                    inputs.push(Input::Direct {
+                        machine,
+                        flight,
+                        outcome,
+                    });
+                }
+                Effect::Inspect {
+                    machine, flight, ..
+                } => {
+                    let outcome = Outcome::Unsent;
+                    inputs.push(Input::Direct {
+                        machine,
+                        flight,
+                        outcome,
+                    });
+                }
+                Effect::Answer { body, .. } => {
+                    if String::from_utf8_lossy(&body).contains("\"start\"") {
+                        return Some(now);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    None
+}
+
+/// What a silent machine may hold was bounded by what is left of the jobs that are stored as live:
+/// beside a machine that hung with a cancelled job on it the team went over its limit.
+#[test]
+fn a_cancelled_job_on_a_silent_machine_counts_until_its_lease_is_over() {
+    let at = first_start(|_| None).expect("starts");
+    assert!((25.0..27.5).contains(&at), "{at} s");
+}
+
+/// It reports what it has, and the order to stop takes its time.
+#[test]
+fn a_cancelled_job_that_is_reported_counts_until_it_is_gone() {
+    let at = first_start(|at| Some(if at < 10 { &[(0, 7), (1, 7)] } else { &[] }));
+    let at = at.expect("starts");
+    assert!((10.0..11.5).contains(&at), "{at} s");
+}
+
+#[test]
+fn nothing_is_held_back_where_all_is_known() {
+    let at = first_start(|_| Some(&[])).expect("starts");
+    assert!(at < 1.5, "{at} s");
+}
