Submissions that lack a field are refused; refusals name field, found, allowed

One parser read submissions and stored records, with values of its own for what was missing: a job without spread, gpus, preemptibles and the like got 201. JobSpec::submitted asks for all; stored records are read as before.

--- a/src/service.rs
+++ b/src/service.rs
@@ -198,7 +198,7 @@
             Ok(value) => value,
             Err(error) => return Outgoing::error(400, &format!("not JSON: {error}")),
         };
-        let spec = match JobSpec::from_json(&value) {
+        let spec = match JobSpec::submitted(&value) {
             Ok(spec) => spec,
             Err(error) => return Outgoing::error(400, &error),
         };
