--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -188,6 +188,15 @@
             .is_none_or(|t| self.now - t > self.silent_after_s())
     }
 
+    /// Whether a machine that may answer orders has not reported for half a lease: nothing renews
+    /// its lease, and what is started there dies with it.
+    fn is_mute(&self, m: u32) -> bool {
+        let since = self.machines[m].reported_at;
+        let since = since.map_or(self.listening_since, |at| at.max(self.listening_since));
+        let patience = self.config.cluster.workers.lease_s / 2.0;
+        self.now - since > patience.max(self.silent_after_s())
+    }
+
     pub(super) fn machine_usable(&self, m: u32) -> bool {
         let machine = &self.machines[m];
         machine.synced
@@ -201,6 +210,7 @@
             && machine.quarantined_until <= self.now
             && machine.session > machine.dead_session
             && !self.is_silent(m)
+            && !self.is_mute(m)
     }
 
     pub(super) fn free_room(&self, m: u32) -> Amounts {
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -169,7 +169,12 @@
             sharing.keeper.paused((pause_s * 1000.0) as u64);
         }
         for (_, machine) in self.machines.iter_mut() {
-            for at in [&mut machine.heard_at, &mut machine.unanswered_at] {
+            let of_machine = [
+                &mut machine.heard_at,
+                &mut machine.reported_at,
+                &mut machine.unanswered_at,
+            ];
+            for at in of_machine {
                 *at = at.map(|t| t + pause_s);
             }
         }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -298,6 +298,8 @@
     /// When a report of it was last received that we answered.
     pub answered_at: Option<Time>,
     pub heard_at: Option<Time>,
+    /// When its last report came to any node: what it answers otherwise renews no lease.
+    pub reported_at: Option<Time>,
     /// No session up to this one can be alive any more.
     pub dead_session: u64,
     /// It has reported our token: no command of an earlier leader can reach it.
--- a/src/coordination/reports.rs
+++ b/src/coordination/reports.rs
@@ -37,6 +37,7 @@
             reported: ((0, 0), 0),
             answered_at: None,
             heard_at: None,
+            reported_at: None,
             dead_session: 0,
             synced: false,
             reclaim_at: None,
--- a/src/coordination/sharing.rs
+++ b/src/coordination/sharing.rs
@@ -290,6 +290,7 @@
         if newer || waits {
             let machine = &mut self.machines[m];
             machine.heard_at = machine.heard_at.max_of(heard);
+            machine.reported_at = machine.reported_at.max_of(heard);
             self.silence.heard(&self.machines[m].name, ms(self.now));
         }
         if newer {
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -112,6 +112,7 @@
     pub(super) fn may_answer(&mut self, m: u32, ticket: u64, report: Report) -> Option<Report> {
         let machine = &mut self.machines[m];
         machine.heard_at = Some(self.now);
+        machine.reported_at = Some(self.now);
         self.silence.heard(&machine.name, ms(self.now));
         if !machine.on_record || self.now < self.word_until {
             return Some(report);
--- a/src/service.rs
+++ b/src/service.rs
@@ -565,8 +565,16 @@
 
     pub async fn peer(self, request: Incoming) -> Outgoing {
         self.shared.heard_peer();
-        let Ok(message) = borsh::from_slice::<PeerRequest>(&request.body) else {
-            return Outgoing::error(400, "malformed");
+        let message = match borsh::from_slice::<PeerRequest>(&request.body) {
+            Ok(message) => message,
+            Err(error) => {
+                // Of another version, perhaps.
+                let (kind, bytes) = (request.body.first(), request.body.len());
+                tracing::warn!(?kind, bytes, %error, "message of a controller: not understood");
+                let found = kind.map_or("nothing".into(), |k| format!("kind {k}, {bytes} bytes"));
+                let why = format!("message: found {found}, allowed are those of this version");
+                return Outgoing::error(400, &why);
+            }
         };
         let reply = match message {
             PeerRequest::Lookup(jobs) => PeerReply::Jobs(self.ask_owner_all(jobs).await.0),
--- a/tests/deaf.rs
+++ b/tests/deaf.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use copperfield_standins::history::What;
 use copperfield_standins::site::LEASE_S;
 use serde_json::json;
 use tokio::time::sleep;
@@ -70,6 +71,47 @@
     }
 }
 
+/// Machines whose reports reach nobody, while direct orders reach them, lose their leases, though
+/// they answer whatever they are asked. Starts on them, later than half a lease after they fell
+/// mute and until they report again.
+#[test]
+fn machines_that_reach_nobody_get_no_work() {
+    for seed in 0..4 {
+        let late = simulate(async move {
+            let world = site(seed, 0.0);
+            tokio::spawn(machines(world.clone()));
+            let mute_s = 4.0 * LEASE_S;
+            for mute in [1, 2] {
+                tokio::spawn(inflict(
+                    world.clone(),
+                    DEAF_AT,
+                    Fault::Mute(mute, mute_s),
+                    seed,
+                ));
+            }
+            let service = job(50, "service", 4, json!({"spread": true, "cpus": 1.0}));
+            let id = "wk-000050".to_string();
+            tokio::spawn(user(world.clone(), id, service, 2.0, 1.0, None));
+            for i in 1..=40 {
+                let body = job(i, "sweep", 4, json!({"cpus": 1.0, "pull_gb": 0.0}));
+                let at = DEAF_AT - 2.0 + i as f64 * 0.5;
+                let id = format!("wk-{i:06}");
+                tokio::spawn(user(world.clone(), id, body, 2.0, at, None));
+            }
+            sleep(Duration::from_secs_f64(DEAF_AT + mute_s + 30.0)).await;
+            let w = world.lock().unwrap();
+            assert!(w.site.broken.is_empty(), "{:#?}", w.site.broken);
+            let mute = DEAF_AT + LEASE_S / 2.0 + 1.0..DEAF_AT + mute_s;
+            let events = w.site.history.events().iter();
+            let on_them = events.filter(|e| mute.contains(&e.at) && e.what == What::Starts);
+            let on_them =
+                on_them.filter(|e| ["vm-000001", "vm-000002"].contains(&e.machine.as_str()));
+            on_them.map(|e| (e.at, e.task.clone())).collect::<Vec<_>>()
+        });
+        assert!(late.is_empty(), "seed {seed}: {} {late:?}", late.len());
+    }
+}
+
 /// What a new leader knows of them is what they report, in sessions that end again and again.
 #[test]
 fn machines_that_hear_nothing_of_a_new_leader_hold_nobody_up_for_longer_than_a_lease() {
