--- a/tests/inherited.rs
+++ b/tests/inherited.rs
@@ -185,10 +185,10 @@
                         outcome,
                     });
                 }
-                Effect::Answer { body, .. } => {
-                    if String::from_utf8_lossy(&body).contains("\"start\"") {
-                        return Some(now);
-                    }
+                Effect::Answer { body, .. }
+                    if String::from_utf8_lossy(&body).contains("\"start\"") =>
+                {
+                    return Some(now);
                 }
                 _ => {}
             }
