A lapse of the leader makes no machine mute

While nobody was valid reports were refused, so after an outage every machine would have counted as mute until its next report.

--- a/src/coordination/copies.rs
+++ b/src/coordination/copies.rs
@@ -191,8 +191,10 @@
     /// Whether a machine that may answer orders has not reported for half a lease: nothing renews
     /// its lease, and what is started there dies with it.
     fn is_mute(&self, m: u32) -> bool {
+        // While nobody was valid reports were refused, and nobody was mute for that.
+        let listening = self.listening_since.max(self.valid_since);
         let since = self.machines[m].reported_at;
-        let since = since.map_or(self.listening_since, |at| at.max(self.listening_since));
+        let since = since.map_or(listening, |at| at.max(listening));
         let patience = self.config.cluster.workers.lease_s / 2.0;
         self.now - since > patience.max(self.silent_after_s())
     }
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -24,6 +24,8 @@
 
 /// Silence and ends of leases are looked for so often, and before every batch.
 const WATCH_S: f64 = 0.05;
+/// Steps come at least every 50 ms while this node may lead; a longer break is a lapse.
+const LAPSE_S: f64 = 0.5;
 /// How long a job's done bits may wait to be stored together.
 const PROGRESS_EVERY_S: f64 = 2.0;
 /// Arrays of so many tasks bid with those that are like them.
@@ -60,6 +62,7 @@
             token,
             elected_at: now,
             listening_since: now,
+            valid_since: now,
             now,
             zones,
             types: Types::default(),
@@ -124,6 +127,9 @@
     }
 
     pub fn step(&mut self, now: Time, inputs: Vec<Input>) -> Vec<Effect> {
+        if now - self.now > LAPSE_S {
+            self.valid_since = now;
+        }
         self.now = now.max(self.now);
         for input in inputs {
             self.take(input);
--- a/src/coordination/state.rs
+++ b/src/coordination/state.rs
@@ -46,6 +46,8 @@
     pub(super) elected_at: Time,
     /// The election, put off by the pauses of this process since.
     pub(super) listening_since: Time,
+    /// Since when this leader has been valid without a break, as far as its steps tell.
+    pub(super) valid_since: Time,
     pub(super) now: Time,
     pub(super) zones: Names,
     pub(super) types: Types,
