--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1295,14 +1295,7 @@
 
 /// Until another leads than now; also the same node, under another token.
 async fn await_the_next_leader(world: &Shared2) {
-    let token = || {
-        let mut w = world.lock().unwrap();
-        let now = w.now();
-        let outage = std::mem::take(&mut w.state.outage);
-        let (status, found) = w.state.handle(now, "GET", "/kv/cf/leader", b"");
-        w.state.outage = outage;
-        (status == 200).then(|| found["stamp"].as_u64().expect("a token"))
-    };
+    let token = || leader_key(world).map(|key| key["stamp"].as_u64().expect("a token"));
     let first = token();
     while token().is_none_or(|t| Some(t) == first) {
         sleep(Duration::from_millis(20)).await;
@@ -1320,11 +1313,17 @@
 }
 
 pub fn leader(world: &Shared2) -> Option<usize> {
+    let key = leader_key(world)?;
+    let name = key["data"]["member"].as_str().expect("a name");
+    Some(name["host-".len()..].parse().expect("a number"))
+}
+
+/// As the state service has it, also in an outage.
+fn leader_key(world: &Shared2) -> Option<Value> {
     let mut w = world.lock().unwrap();
     let now = w.now();
     let outage = std::mem::take(&mut w.state.outage);
     let (status, found) = w.state.handle(now, "GET", "/kv/cf/leader", b"");
     w.state.outage = outage;
-    let name = (status == 200).then(|| found["data"]["member"].as_str().expect("a name"))?;
-    Some(name["host-".len()..].parse().expect("a number"))
+    (status == 200).then_some(found)
 }
