--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -49,16 +50,29 @@
     http: Arc<Http>,
 }
 
-/// An address that nobody listens on now.
+/// Below what the kernel gives to outgoing connections: there an address that was free a moment
+/// ago was once some connection's by the time its server began.
+const PORTS: std::ops::Range<u32> = 10_240..32_768;
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// An address that nobody listens on now, and that this process has not been given before.
 ///
 /// # Panics
 /// If the machine has no free port.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+    let first = std::process::id().wrapping_mul(97);
+    for _ in PORTS {
+        let next = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+        let port = PORTS.start + next % (PORTS.end - PORTS.start);
+        let address = fixed_address(port as u16);
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no free port in {PORTS:?}");
 }
 
-/// The same, below a fixed port, for people who type it.
+/// An address at a fixed port, for people who type it.
 pub fn fixed_address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
