--- a/crates/protocol/src/job.rs
+++ b/crates/protocol/src/job.rs
@@ -124,9 +124,9 @@
 const MAX_TYPES: usize = 32;
 /// Characters of what was found that an error repeats.
 const MOST_QUOTED: usize = 60;
-/// What a submission has to say besides: only what may be null may be omitted, and a job that ran
-/// without what its user forgot once ran on the wrong machines. Records that are stored already
-/// are read without them.
+/// What a submission has to say besides: only what may be null may be omitted, and without these
+/// one was once accepted with values of our own. Records that are stored already are read without
+/// them.
 const STATED: [(&str, &str); 8] = [
     ("gpus", A_NUMBER),
     ("pull_gb", A_NUMBER),
