Tests: one list of jobs that never ended, and the team's limit kept once

Read again: three files told apart what never ends in the same words, and the world kept a limit that its site has.

--- a/tests/each_meeting.rs
+++ b/tests/each_meeting.rs
@@ -60,10 +60,7 @@
                 broken.is_empty(),
                 "{later_s} s later, {faults:?}: {broken:#?}"
             );
-            let open = told
-                .iter()
-                .filter(|(id, told)| told.is_none() && !is_endless(id));
-            let open: Vec<&String> = open.map(|(id, _)| id).collect();
+            let open = never_ended(&told);
             assert!(open.is_empty(), "{later_s} s later, never ended: {open:?}");
         }
     }
@@ -89,11 +86,6 @@
     }
 }
 
-/// The services of a day.
-fn is_endless(id: &str) -> bool {
-    id[3..].parse::<usize>().expect("our own") % 4 == 2
-}
-
 /// A team at its limit of 14 CPUs with one long job, and others that come once that is called off
 /// and the leader has changed.
 fn at_the_limit() -> Meeting {
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -94,9 +94,7 @@
 fn play_meeting(seed: u64) -> Result<(), String> {
     let faults = meeting(seed);
     let (broken, told) = play_day(seed, &faults);
-    let endless = |id: &str| id[3..].parse::<u32>().expect("our own") % 4 == 2;
-    let open = told.iter().filter(|(id, t)| t.is_none() && !endless(id));
-    let open: Vec<&String> = open.map(|(id, _)| id).collect();
+    let open = never_ended(&told);
     if broken.is_empty() && open.is_empty() {
         return Ok(());
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -54,8 +54,6 @@
     pub close_looks: bool,
     /// Share of jobs that are called off at the moment of their end.
     pub cancel_at_end: f64,
-    /// CPUs that the team may use at once, 0 for no limit.
-    pub limit: f64,
     /// Share of answers that are lost.
     pub loss: f64,
     /// So many messages to the state service from now, their sender ends: before it leaves, or
@@ -421,7 +419,9 @@
         ..Tuning::default()
     };
     let mut settings = settings(i);
-    settings.cluster.teams[0].cpus_max = world.lock().unwrap().limit;
+    let team = &mut settings.cluster.teams[0];
+    let limit = world.lock().unwrap().site.limits.get(&team.name).copied();
+    team.cpus_max = limit.unwrap_or(0.0);
     let (service, _) = Service::start(settings, tuning, Arc::new(net), seed + i as u64);
     let mut w = world.lock().unwrap();
     w.services[i] = Some(service);
@@ -910,7 +910,6 @@
         zone_cut: false,
         close_looks: false,
         cancel_at_end: 0.0,
-        limit,
         loss,
         trip: None,
         drop: None,
@@ -1282,17 +1281,20 @@
     assert!(broken.is_empty(), "{name}, seed {seed}: {broken:#?}");
     let least = 9 * rounds as usize;
     assert!(starts > least, "{name}, seed {seed}: only {starts} starts");
-    let open: Vec<&String> = told
-        .iter()
-        .filter(|(id, told)| told.is_none() && id[3..].parse::<u32>().unwrap() % 4 != 2)
-        .map(|(id, _)| id)
-        .collect();
+    let open = never_ended(&told);
     assert!(
         open.is_empty(),
         "{name}, seed {seed}: never ended: {open:?}"
     );
 }
 
+/// Jobs of which no user was told an end, but for the services of a day.
+pub fn never_ended<'a>(told: &'a BTreeMap<String, Option<&'static str>>) -> Vec<&'a String> {
+    let endless = |id: &str| id[3..].parse::<u32>().expect("our own") % 4 == 2;
+    let open = told.iter().filter(|(id, t)| t.is_none() && !endless(id));
+    open.map(|(id, _)| id).collect()
+}
+
 /// Until another leads than now; also the same node, under another token.
 async fn await_the_next_leader(world: &Shared2) {
     let token = || leader_key(world).map(|key| key["stamp"].as_u64().expect("a token"));
