--- a/tests/simulation.rs
+++ b/tests/simulation.rs
@@ -390,3 +390,70 @@
     );
     assert_eq!(site.broken.len(), 4);
 }
+
+/// The rules that a site has broken since this was last asked.
+fn broken(site: &mut Site) -> Vec<String> {
+    let rule = |b: String| b.split(' ').nth(1).unwrap().to_string();
+    site.broken.drain(..).map(rule).collect()
+}
+
+/// The same of what came with the troubles that meet.
+#[test]
+fn the_checker_sees_limits_waits_and_late_starts() {
+    let mut site = Site::default();
+    let a = site.add_machine("small", "a", false, 0.0);
+    site.limits.insert("team".into(), 3.0);
+    let mut plant = |id: usize| {
+        let body = job(id, "sweep", 1, json!({"pull_gb": 0.0}));
+        let mut job = Job::uploaded(&body, 1.0);
+        job.accepted = Some(0.0);
+        site.jobs.insert(format!("wk-{id:06}"), job);
+    };
+    (1..=4).for_each(&mut plant);
+    // Of a cancelled job, and of one beside it: 2 and 2 CPUs of 3.
+    site.jobs.get_mut("wk-000001").unwrap().cancelled_at = Some(0.0);
+    assert_eq!(put(&mut site, &a, "wk-000001/0", 1), Vec::<String>::new());
+    assert_eq!(put(&mut site, &a, "wk-000002/0", 2), ["quota:"]);
+
+    // Without the two the machine has room, and the team may use it.
+    site.execute(
+        &a,
+        &json!([{"verb": "halt", "shard": "wk-000001/0", "try": 1, "drain_s": 0.0},
+            {"verb": "halt", "shard": "wk-000002/0", "try": 2, "drain_s": 0.0}]),
+    );
+    site.jobs.get_mut("wk-000001").unwrap().told = Some("withdrawn");
+    site.jobs.get_mut("wk-000002").unwrap().told = Some("done");
+    site.jobs.get_mut("wk-000003").unwrap().body["asked"] = json!(true);
+    site.now = 89.0;
+    site.check_waiting(90.0);
+    assert_eq!(broken(&mut site), Vec::<String>::new());
+    site.now = 91.0;
+    site.check_waiting(90.0);
+    assert_eq!(
+        site.broken,
+        ["91.0 waits: wk-000004, for 90 s beside free room"]
+    );
+    site.broken.clear();
+    site.limits.insert("team".into(), 1.0);
+    site.check_waiting(90.0);
+    assert_eq!(broken(&mut site), Vec::<String>::new());
+
+    let start = json!({"verb": "start", "shard": "wk-000001/0", "try": 9});
+    let halt = json!({"verb": "halt", "shard": "wk-000001/0", "try": 9, "drain_s": 0.0});
+    site.check_orders(&json!([start, halt]), 2.0);
+    assert_eq!(broken(&mut site), Vec::<String>::new());
+    site.check_orders(&json!([start]), 2.0);
+    assert_eq!(broken(&mut site), ["started_cancelled:"]);
+
+    // A repeated submission that is refused, and one that is answered with something older; what
+    // was asked before the newer answer arrived is only counted.
+    site.user_told("wk-000004", 91.0, 422, None);
+    site.jobs.get_mut("wk-000004").unwrap().body["asked"] = json!(true);
+    site.user_told("wk-000004", 91.0, 200, Some("withdrawn"));
+    assert_eq!(broken(&mut site), ["forgotten:"]);
+    site.now = 92.0;
+    site.user_told("wk-000004", 90.9, 201, Some("pending"));
+    assert_eq!((broken(&mut site).len(), site.overtaken), (0, 1));
+    site.user_told("wk-000004", 91.1, 201, Some("pending"));
+    assert_eq!(broken(&mut site), ["went_back:"]);
+}
