--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -13,11 +13,12 @@
  {"name":"big","cpus":12,"gpus":2,"memory_gb":48,"local_gb":100,"pull_gb_per_s":0.5,"price":5.0,"market_price":1.8,"ready_s":8,"regions":["a","b"]}]}"#;
 /// Interval of heartbeats.
 pub const REPORT_S: f64 = 1.0;
-/// Length of a worker's lease.
+/// Length of a worker's lease, unless a test sets another.
 pub const LEASE_S: f64 = 6.0;
 /// Clock drift: workers keep their leases for longer than controllers assume, by this factor.
 const DRIFT: f64 = 1.001;
-/// Every task of a job must have ended this long after its cancellation was answered.
+/// Every task of a job must have ended this long after its cancellation was answered, unless a test
+/// sets another time.
 pub const CANCEL_S: f64 = 16.0;
 /// How soon a task notices that a member of its gang is gone.
 const GANG_PEER_S: f64 = 2.0;
@@ -124,6 +125,10 @@
     pub violations: Vec<String>,
     provisioned: BTreeMap<String, Vec<String>>,
     pub capacity: usize,
+    /// Length of a worker's lease.
+    pub lease_s: f64,
+    /// Every task of a job must have ended this long after its cancellation was answered.
+    pub cancel_s: f64,
     /// From a rental until the worker is up, in seconds.
     pub boot_s: f64,
     /// CPUs that a team may use at once, where that is limited.
@@ -151,6 +156,8 @@
             violations: Vec::new(),
             provisioned: BTreeMap::new(),
             capacity: 16,
+            lease_s: LEASE_S,
+            cancel_s: CANCEL_S,
             boot_s: 6.0,
             limits: BTreeMap::new(),
             completed: Vec::new(),
@@ -285,7 +292,10 @@
         if b["one_zone"] == true && ["a", "b"].iter().any(|z| *z != me.zone && in_zone(z) > 0) {
             broken.push(("wrong_place", format!("{task} in a second zone")));
         }
-        if job.cancelled_at.is_some_and(|t| self.now > t + CANCEL_S) {
+        if job
+            .cancelled_at
+            .is_some_and(|t| self.now > t + self.cancel_s)
+        {
             broken.push(("ran_cancelled", task.to_string()));
         }
         let team = b["owner"].as_str().unwrap_or("");
@@ -526,9 +536,9 @@
     /// Ends the incarnation of a worker whose lease has expired, also while the worker hangs: it may
     /// run its tasks only within its lease.
     pub fn end_lease(&mut self, name: &str) {
-        let now = self.now;
+        let (now, lease_s) = (self.now, self.lease_s * DRIFT);
         let m = self.workers.get_mut(name).expect("exists");
-        if now - m.answered_sent > LEASE_S * DRIFT {
+        if now - m.answered_sent > lease_s {
             let tasks = std::mem::take(&mut m.tasks);
             m.tenure += 1;
             m.answered_sent = now;
@@ -831,7 +841,7 @@
     /// be on it by then whose job was told cancelled so long ago that the lease outlives the
     /// time a cancellation has.
     pub fn check_renewed(&mut self, worker: &str) {
-        let latest = self.now - (CANCEL_S - LEASE_S * DRIFT);
+        let latest = self.now - (self.cancel_s - self.lease_s * DRIFT);
         let long_cancelled = |t: &&String| {
             let told = self.jobs[Self::job_of(t)].cancelled_at;
             told.is_some_and(|at| at < latest)
@@ -844,7 +854,7 @@
         }
     }
 
-    /// Checks that no task occupies a worker longer than [`CANCEL_S`] after its job's cancellation.
+    /// Checks that no task occupies a worker longer than `cancel_s` after its job's cancellation.
     pub fn check_cancelled(&mut self) {
         let late: Vec<String> = self
             .workers
@@ -854,7 +864,7 @@
             .filter(|t| {
                 self.jobs[Self::job_of(t)]
                     .cancelled_at
-                    .is_some_and(|at| self.now > at + CANCEL_S)
+                    .is_some_and(|at| self.now > at + self.cancel_s)
             })
             .cloned()
             .collect();
--- a/tests/simulated_cluster/mod.rs
+++ b/tests/simulated_cluster/mod.rs
@@ -12,7 +12,7 @@
 use copperfield::settings::{Settings, Switch, Tuning};
 use copperfield::transport::client::{Answer, CallError, Exchange, Network, within};
 use copperfield::transport::server::Incoming;
-use copperfield_simulation::cluster::{CANCEL_S, GANG_WAIT_S, Job, LEASE_S, REPORT_S, Site};
+use copperfield_simulation::cluster::{GANG_WAIT_S, Job, LEASE_S, REPORT_S, Site};
 use copperfield_simulation::state_service::StateService;
 use hyper::Method;
 use rand::rngs::StdRng;
@@ -42,6 +42,9 @@
     pub late_writes: f64,
     /// Share of reports of which a copy arrives again, from 2 s to well over a lease later.
     pub late_reports: f64,
+    /// Share of direct messages to workers that are held up on their way, or whose answers are, so
+    /// that later ones overtake them.
+    pub late_commands: f64,
     /// Share of transactions that are carried out at once and of which no answer comes.
     pub answers_lost: f64,
     /// Workers that reach no controller, while direct orders reach them.
@@ -273,6 +276,9 @@
     }
 }
 
+/// How long a late direct message, or its answer, is held up.
+const LATE_COMMAND_S: std::ops::Range<f64> = 2.0..16.0;
+
 /// Where transactions are late: this one, if it is to be, waits here while its sender has given
 /// up, and is carried out when the service serves again.
 async fn hold_back(world: &SharedCluster, from: &str) {
@@ -289,6 +295,64 @@
     }
 }
 
+/// Where direct messages are late: how long this one is held up before its worker carries it out,
+/// and how long its answer is afterwards.
+fn command_delays(world: &SharedCluster) -> (Duration, Duration) {
+    let w = &mut *world.lock().unwrap();
+    if w.late_commands == 0.0 || !w.rng.random_bool(w.late_commands) {
+        return (Duration::ZERO, Duration::ZERO);
+    }
+    let wait = Duration::from_secs_f64(w.rng.random_range(LATE_COMMAND_S));
+    if w.rng.random() {
+        (wait, Duration::ZERO)
+    } else {
+        (Duration::ZERO, wait)
+    }
+}
+
+/// A direct message reaches its worker, once that hears anything. Status and heartbeat of its answer.
+async fn execute_at_worker(
+    world: &SharedCluster,
+    to: &str,
+    path: &str,
+    body: &[u8],
+) -> (u16, Value) {
+    loop {
+        let ready = {
+            let w = world.lock().unwrap();
+            let m = w.site.workers.get(to);
+            // What a deaf worker is told is lost, as what one that is gone is told.
+            let m = m.filter(|_| !w.deaf.contains(to));
+            m.map(|m| !m.hung && !m.dead && m.up_at <= w.now())
+        };
+        match ready {
+            Some(true) => break,
+            Some(false) => sleep(Duration::from_millis(50)).await,
+            None => std::future::pending().await,
+        }
+    }
+    let mut w = world.lock().unwrap();
+    let site = &mut w.site;
+    let mut status = 200;
+    if path == "/orders" {
+        let orders: Value = serde_json::from_slice(body).unwrap();
+        let same = site.workers[to].tenure == orders["tenure"].as_u64().unwrap();
+        if same && site.accept_fencing_token(to, orders["fence"].as_u64()) {
+            site.execute(to, &orders["orders"]);
+        } else {
+            status = 409;
+        }
+    }
+    (status, site.workers.get_mut(to).unwrap().heartbeat())
+}
+
+/// A pause of no length is none: it would let other tasks go first.
+async fn hold_up(pause: Duration) {
+    if !pause.is_zero() {
+        sleep(pause).await;
+    }
+}
+
 pub async fn deliver(
     world: SharedCluster,
     from: String,
@@ -349,33 +413,11 @@
                 .handle_cloud_request(method.as_str(), &path, &body),
         )
     } else if to.starts_with("vm-") {
-        loop {
-            let ready = {
-                let w = world.lock().unwrap();
-                let m = w.site.workers.get(&to);
-                // What a deaf worker is told is lost, as what one that is gone is told.
-                let m = m.filter(|_| !w.deaf.contains(&to));
-                m.map(|m| !m.hung && !m.dead && m.up_at <= w.now())
-            };
-            match ready {
-                Some(true) => break,
-                Some(false) => sleep(Duration::from_millis(50)).await,
-                None => std::future::pending().await,
-            }
-        }
-        let mut w = world.lock().unwrap();
-        let site = &mut w.site;
-        let mut status = 200;
-        if path == "/orders" {
-            let orders: Value = serde_json::from_slice(&body).unwrap();
-            let same = site.workers[&to].tenure == orders["tenure"].as_u64().unwrap();
-            if same && site.accept_fencing_token(&to, orders["fence"].as_u64()) {
-                site.execute(&to, &orders["orders"]);
-            } else {
-                status = 409;
-            }
-        }
-        answer((status, site.workers.get_mut(&to).unwrap().heartbeat()))
+        let (before, after) = command_delays(&world);
+        hold_up(before).await;
+        let (status, heartbeat) = execute_at_worker(&world, &to, &path, &body).await;
+        hold_up(after).await;
+        answer((status, heartbeat))
     } else {
         let number: usize = to["host-".len()..].parse().unwrap();
         let service = world.lock().unwrap().services[number].clone();
@@ -423,7 +465,8 @@
     Ok(reply)
 }
 
-pub fn settings(me: usize) -> Settings {
+pub fn settings(me: usize, site: &Site) -> Settings {
+    let (lease_s, cancel_s) = (site.lease_s, site.cancel_s);
     let others: Vec<Value> = (0..NODES)
         .filter(|&i| i != me)
         .map(|i| json!({"member": node_name(i), "site": "a", "peer_addr": format!("10.0.0.{}:8081", i + 1)}))
@@ -432,7 +475,7 @@
         "peer_bind": format!("10.0.0.{}:8081", me + 1), "others": others,
         "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
         "cluster": {"count": NODES, "zones": ["a", "b"], "teams": [{"name": "team"}], "objectives": [],
-            "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": GANG_WAIT_S, "gang_peer_s": 2.0, "cancel_s": CANCEL_S},
+            "workers": {"report_s": REPORT_S, "lease_s": lease_s, "gang_wait_s": GANG_WAIT_S, "gang_peer_s": 2.0, "cancel_s": cancel_s},
             "state": {"rps": 400, "write_rps": 100, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 10, "list_lag_s": 1},
             "limits": {"max_sockets": 1000}, "clock_error_ms": 25}});
     serde_json::from_value(value).expect("valid settings")
@@ -456,7 +499,7 @@
     };
     let tune = world.lock().unwrap().tune;
     tune(&mut tuning);
-    let mut settings = settings(i);
+    let mut settings = settings(i, &world.lock().unwrap().site);
     let team = &mut settings.cluster.teams[0];
     let limit = world.lock().unwrap().site.limits.get(&team.name).copied();
     team.cpus_max = limit.unwrap_or(0.0);
@@ -882,6 +925,8 @@
     LateWrites(f64, f64),
     /// That share of reports arrives once more, later.
     LateReports(f64, f64),
+    /// That share of direct messages to workers, or of their answers, is held up for seconds.
+    LateCommands(f64, f64),
     /// A worker hears nothing.
     Deafen(usize, f64),
     /// From a node to a place, or "*" for everything.
@@ -937,8 +982,33 @@
 
 /// The same under controllers whose tuning is changed.
 pub fn tuned_site(seed: u64, loss: f64, limit: f64, tune: fn(&mut Tuning)) -> SharedCluster {
+    built_site(seed, loss, limit, tune, Site::default())
+}
+
+/// Workers keep their leases for longer than cancellations leave time for a renewal, as on the
+/// operators' large sites: one that is out of reach may come back within its lease and too late to
+/// be answered without its stops.
+pub fn long_lease_site(seed: u64) -> SharedCluster {
+    let mut site = Site::default();
+    site.lease_s = LONG_LEASE_S;
+    site.cancel_s = LONG_LEASE_S + LONG_LEASE_SLACK_S;
+    built_site(seed, 0.0, 0.0, |_| (), site)
+}
+
+/// Of [`long_lease_site`].
+pub const LONG_LEASE_S: f64 = 14.0;
+/// How long after a cancellation a lease may be renewed without the stops that it orders.
+pub const LONG_LEASE_SLACK_S: f64 = 10.0;
+
+fn built_site(
+    seed: u64,
+    loss: f64,
+    limit: f64,
+    tune: fn(&mut Tuning),
+    site: Site,
+) -> SharedCluster {
     let world: SharedCluster = Arc::new(Mutex::new(SimulatedCluster {
-        site: Site::default(),
+        site,
         state: StateService::default(),
         services: vec![None; NODES],
         alive: vec![Arc::default(); NODES],
@@ -948,6 +1018,7 @@
         deaf: BTreeSet::new(),
         late_writes: 0.0,
         late_reports: 0.0,
+        late_commands: 0.0,
         answers_lost: 0.0,
         mute: BTreeSet::new(),
         for_next: 0.0,
@@ -1191,6 +1262,11 @@
             again(s).await;
             world.lock().unwrap().late_reports = 0.0;
         }
+        Fault::LateCommands(share, s) => {
+            world.lock().unwrap().late_commands = share;
+            again(s).await;
+            world.lock().unwrap().late_commands = 0.0;
+        }
         Fault::Deafen(i, s) => {
             let name = format!("vm-{i:06}");
             world.lock().unwrap().deaf.insert(name.clone());
