Log why a worker's lease was renewed or not, and which stops went with it

The records of the incident could not tell which answers had renewed the lease of the worker, what had reconciled it, nor whether its stops were sent. Heartbeats from shard owners and those that came to the leader are routed by one function now.

--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -165,6 +165,8 @@
             self.rebalance_replicas();
         }
         self.log_demand();
+        let log = &mut self.reconciliation.lease_log;
+        log.log_if_due(self.now, self.token);
     }
 
     fn record_failover_progress(&mut self) {
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -11,6 +11,7 @@
 
 use super::messages::Effect;
 use super::model::*;
+use super::reconciliation::count_stops;
 use super::state::Core;
 
 /// Messages in flight that may be answered any moment.
@@ -261,6 +262,9 @@
             .collect();
         let via = self.record_in_flight(m, message_id, starts, true);
         let worker = &self.workers[m];
+        let stops = count_stops(&commands);
+        let log = &mut self.reconciliation.lease_log;
+        log.record_direct_stops(self.now, &worker.name, message_id, via, stops);
         self.effects.push(Effect::Direct {
             worker: worker.name.clone(),
             address: worker.address.clone(),
--- a/src/coordination/fencing/mod.rs
+++ b/src/coordination/fencing/mod.rs
@@ -146,6 +146,8 @@
 
     /// Has a heartbeat answered later. One of the same worker that waits already is refused.
     pub(super) fn defer_answer(&mut self, ticket: u64, heartbeat: Heartbeat) {
+        let log = &mut self.reconciliation.lease_log;
+        log.record_deferral(self.now, &heartbeat.worker);
         if let Some(DeferredHeartbeat { ticket, .. }) = self.fencing.defer(ticket, heartbeat) {
             let why = HeartbeatRefusal::Overtaken;
             self.effects.push(Effect::Refuse { ticket, why });
--- a/src/coordination/reconciliation/heartbeats.rs
+++ b/src/coordination/reconciliation/heartbeats.rs
@@ -4,12 +4,14 @@
 
 use copperfield_sharding::Route;
 
-use crate::protocol::worker::{Heartbeat, TaskPhase, TaskStatus, commands_body};
+use crate::protocol::worker::{Command, Heartbeat, TaskPhase, TaskStatus, Verb, commands_body};
 
 use crate::coordination::messages::{Effect, HeartbeatRefusal, HeartbeatSource};
 use crate::coordination::model::*;
 use crate::coordination::state::Core;
 
+use super::lease_log::{AppliedHeartbeat, Renewal};
+
 impl Core {
     /// Adds a worker that was not known.
     pub(crate) fn add_worker(
@@ -32,16 +34,22 @@
     pub(crate) fn handle_heartbeat(&mut self, ticket: u64, heartbeat: Heartbeat) {
         let m = match self.worker_of(&heartbeat) {
             Ok(m) => m,
-            Err(why) => return self.effects.push(Effect::Refuse { ticket, why }),
+            Err(why) => return self.refuse(ticket, &heartbeat, why),
         };
         let again = HeartbeatSequence::of(&heartbeat) == self.workers[m].newest_receipt.sequence;
         if again || self.is_duplicate_heartbeat(m, &heartbeat, self.own_controller_index()) {
-            let why = HeartbeatRefusal::Duplicate;
-            return self.effects.push(Effect::Refuse { ticket, why });
+            return self.refuse(ticket, &heartbeat, HeartbeatRefusal::Duplicate);
         }
         self.answer_heartbeat(ticket, heartbeat);
     }
 
+    /// Gives a heartbeat no answer that renews a lease.
+    fn refuse(&mut self, ticket: u64, heartbeat: &Heartbeat, why: HeartbeatRefusal) {
+        let log = &mut self.reconciliation.lease_log;
+        log.record_refusal(self.now, &heartbeat.worker, why);
+        self.effects.push(Effect::Refuse { ticket, why });
+    }
+
     /// Whether a newer heartbeat has come, or the same one to another controller. The worker no
     /// longer waits for the answer to this one or has had it: it renews no lease and proves
     /// nothing. Without this check, delayed duplicates kept dead workers from being released. A
@@ -69,35 +77,57 @@
     pub(crate) fn answer_heartbeat(&mut self, ticket: u64, heartbeat: Heartbeat) {
         let m = match self.worker_of(&heartbeat) {
             Ok(m) => m,
-            Err(why) => return self.effects.push(Effect::Refuse { ticket, why }),
+            Err(why) => return self.refuse(ticket, &heartbeat, why),
         };
         let Some(heartbeat) = self.may_answer(m, ticket, heartbeat) else {
             return;
         };
         let newer = self.is_newer(m, &heartbeat);
-        match self.route_heartbeat(m) {
+        match self.route_heartbeat(m, self.own_controller_index(), true) {
             Route::Here => {}
             Route::Redirect(controller) => {
                 if newer {
                     self.apply_heartbeat(m, heartbeat, HeartbeatSource::Worker);
                 }
+                self.reconciliation.lease_log.record_redirect();
                 return self.effects.push(Effect::SendTo { ticket, controller });
             }
             Route::Wait => return self.defer_answer(ticket, heartbeat),
         }
         self.workers[m].answered_at = Some(self.now);
+        let sequence = HeartbeatSequence::of(&heartbeat);
         let counter = heartbeat.counter;
         let mut commands = Vec::new();
         if newer {
             self.apply_heartbeat(m, heartbeat, HeartbeatSource::Worker);
             commands = self.collect_commands(m, counter);
         }
+        self.record_renewal(m, sequence, !newer, &commands);
         self.effects.push(Effect::Answer {
             ticket,
             body: commands_body(self.token, None, &commands),
         });
     }
 
+    fn record_renewal(
+        &mut self,
+        m: u32,
+        sequence: HeartbeatSequence,
+        overtaken: bool,
+        commands: &[Command],
+    ) {
+        let worker = &self.workers[m];
+        let renewal = Renewal {
+            worker: &worker.name,
+            sequence,
+            overtaken,
+            message_in_flight: worker.in_flight.is_some(),
+            stops: count_stops(commands),
+        };
+        let log = &mut self.reconciliation.lease_log;
+        log.record_renewal(self.now, &renewal);
+    }
+
     /// The worker that sent a heartbeat, added if it is new; or why this leader ignores it.
     pub(crate) fn worker_of(&mut self, heartbeat: &Heartbeat) -> Result<u32, HeartbeatRefusal> {
         if heartbeat.token > self.token {
@@ -148,6 +178,7 @@
             self.begin_incarnation(m);
         }
         let counter = heartbeat.counter;
+        let was_reconciled = self.workers[m].reconciled;
         let reclaim_noticed = self.update_worker(m, &heartbeat);
         self.register_worker(m);
         let (listed, orphaned_tasks) = self.apply_listed_tasks(m, &heartbeat.tasks);
@@ -156,6 +187,7 @@
         if orphaned_tasks != OrphanedTasks::None {
             self.clear_orphaned_tasks(m, &heartbeat.tasks);
         }
+        self.log_applied(m, &heartbeat, source, was_reconciled);
         if reclaim_noticed {
             self.save_before_reclaim(m);
         }
@@ -168,6 +200,45 @@
         }
     }
 
+    fn log_applied(
+        &mut self,
+        m: u32,
+        heartbeat: &Heartbeat,
+        source: HeartbeatSource,
+        was_reconciled: bool,
+    ) {
+        let worker = &self.workers[m];
+        let reconciles = worker.reconciled && !was_reconciled;
+        let orphaned = worker.orphaned_tasks == OrphanedTasks::Run;
+        if !reconciles && !orphaned {
+            return;
+        }
+        let applied = AppliedHeartbeat {
+            worker: &worker.name,
+            sequence: HeartbeatSequence::of(heartbeat),
+            direct: source != HeartbeatSource::Worker,
+            token: heartbeat.token,
+            tasks: heartbeat.tasks.len(),
+            orphaned: self.count_orphans(&heartbeat.tasks),
+        };
+        let log = &mut self.reconciliation.lease_log;
+        if reconciles {
+            log.record_reconciliation(self.now, &applied);
+        }
+        if orphaned {
+            log.record_orphans(self.now, &applied);
+        }
+    }
+
+    /// How many of these tasks run and belong to no job that this leader knows.
+    fn count_orphans(&self, tasks: &[TaskStatus]) -> usize {
+        let runs = |status: &&TaskStatus| !matches!(status.phase, TaskPhase::Exited(_));
+        let running = tasks.iter().filter(runs);
+        running
+            .filter(|status| self.known_job_of(status).is_none())
+            .count()
+    }
+
     /// A new process of the worker holds none of the tasks of those before it.
     fn begin_incarnation(&mut self, m: u32) {
         let worker = &mut self.workers[m];
@@ -268,6 +339,12 @@
     }
 }
 
+/// How many of these commands are stops.
+pub(in crate::coordination) fn count_stops(commands: &[Command]) -> usize {
+    let is_stop = |command: &&Command| matches!(command.verb, Verb::Stop { .. });
+    commands.iter().filter(is_stop).count()
+}
+
 /// Whether a start that was sent so had reached the worker, if it ever would, when the worker
 /// sent the heartbeat with this counter.
 fn arrived_before(sent: Sent, heartbeat_counter: u64, source: HeartbeatSource) -> bool {
--- a/src/coordination/reconciliation/mod.rs
+++ b/src/coordination/reconciliation/mod.rs
@@ -9,15 +9,21 @@
 mod blocked_jobs;
 mod command_outcomes;
 mod heartbeats;
+mod lease_log;
 mod leases;
 mod task_status;
 mod worker_commands;
 
+pub(super) use heartbeats::count_stops;
+use lease_log::LeaseLog;
+
 /// What a new leader does not know yet of the task instances of earlier leaders.
 #[derive(Debug, Default)]
 pub(super) struct Reconciliation {
     complete: bool,
     unknown_workers: bool,
+    /// What the log says of worker leases.
+    pub(super) lease_log: LeaseLog,
 }
 
 impl Reconciliation {
--- a/src/coordination/sharding/balance.rs
+++ b/src/coordination/sharding/balance.rs
@@ -79,14 +79,10 @@
         let late = self.late_workers();
         let allow_moves = self.reconciliation.is_complete() && !late.is_mass_loss;
         let now = ceil_ms(self.now);
+        self.revoke_workers(late.to_revoke);
         let Some(sharding) = &mut self.sharding else {
             return;
         };
-        for number in late.to_revoke {
-            if sharding.coordinator.unanswered_since(number).is_none() {
-                sharding.coordinator.revoke(number);
-            }
-        }
         for controller in sharding.coordinator.tick(now, allow_moves) {
             let controller = &sharding.controllers[controller as usize];
             tracing::info!(
@@ -99,6 +95,24 @@
         self.answer_deferred_heartbeats();
     }
 
+    /// Only the leader may answer these workers from now on.
+    fn revoke_workers(&mut self, numbers: Vec<u32>) {
+        let Some(sharding) = &mut self.sharding else {
+            return;
+        };
+        for number in numbers {
+            if sharding.coordinator.shard_owner(number).is_some()
+                && let Some(worker) = sharding.worker_names.get(&number)
+            {
+                let log = &mut self.reconciliation.lease_log;
+                log.record_assignment(self.now, worker, None, "late or ignores a stop");
+            }
+            if sharding.coordinator.unanswered_since(number).is_none() {
+                sharding.coordinator.revoke(number);
+            }
+        }
+    }
+
     fn late_workers(&self) -> LateWorkers {
         let late_after_s = self.unresponsive_after_s() - REVOKE_LEAD_S;
         let (mut late, mut all) = (0, 0);
--- a/src/coordination/sharding/routing.rs
+++ b/src/coordination/sharding/routing.rs
@@ -68,17 +68,31 @@
         })
     }
 
-    /// Where a heartbeat that this controller received is to be answered.
-    pub(in crate::coordination) fn route_heartbeat(&mut self, m: u32) -> Route {
+    /// Where a heartbeat that the controller `at` received is to be answered. `waits`: its worker
+    /// waits for the answer there and now.
+    pub(in crate::coordination) fn route_heartbeat(
+        &mut self,
+        m: u32,
+        at: u32,
+        waits: bool,
+    ) -> Route {
         let permission = self.answer_permission(m);
+        let before = self.shard_owner_of(m);
+        let number = self.workers[m].number;
         let Some(sharding) = &mut self.sharding else {
             return Route::Here;
         };
-        let number = self.workers[m].number;
-        let (now, own_index) = (ceil_ms(self.now), sharding.own_index);
-        sharding
+        let now = ceil_ms(self.now);
+        let route = sharding
             .coordinator
-            .handle_heartbeat(now, number, own_index, permission, true)
+            .handle_heartbeat(now, number, at, permission, waits);
+        let owner = sharding.coordinator.shard_owner(number);
+        if owner != before {
+            let worker = &self.workers[m].name;
+            let log = &mut self.reconciliation.lease_log;
+            log.record_assignment(self.now, worker, owner, "heartbeat");
+        }
+        route
     }
 
     /// Answers the heartbeats that were deferred while another controller might still answer their
--- a/src/coordination/sharding/status.rs
+++ b/src/coordination/sharding/status.rs
@@ -113,10 +113,7 @@
         if is_outdated || !(is_newer || waits) {
             return None;
         }
-        let permission = self.answer_permission(m);
-        let (now, number) = (ceil_ms(self.now), self.workers[m].number);
-        let coordinator = &mut self.sharding.as_mut()?.coordinator;
-        match coordinator.handle_heartbeat(now, number, from, permission, waits) {
+        match self.route_heartbeat(m, from, waits) {
             Route::Redirect(to) if waits => Some(to),
             _ => None,
         }
--- a/src/storage/recovery.rs
+++ b/src/storage/recovery.rs
@@ -46,6 +46,7 @@
             }
         }
     };
+    tracing::info!(token, revision, "stored state read");
     handle.send(Command::Recovered { token, snapshot }).await;
     let follower = JobFollower {
         context,
