Every answer that renews a lease carries the stops that are due

Cause: the leader's answer renewed a worker's lease on one path, while the stops went by another. While a direct message was out the queue stayed where it was, and the stop of an orphaned task, or one that was ordered and not sent yet, is nowhere else; a heartbeat that a direct answer had overtaken was answered without any command. Change: due_stops collects what must stop from the instances, the orphaned tasks of the newest message and the queue, and goes into each answer, the stops first; orphaned tasks are kept by name.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -7,7 +7,7 @@
 //! own lease would come last. So few are in flight at a time, and the most urgent go first.
 
 use crate::protocol::job::Priority;
-use crate::protocol::worker::{Command, Verb};
+use crate::protocol::worker::{Command, MAX_COMMANDS, Verb};
 
 use super::messages::Effect;
 use super::model::*;
@@ -248,7 +248,7 @@
 
     fn send_commands(&mut self, m: u32) {
         let message_id = self.new_message_id();
-        let commands = self.drain_outbox(m, Sent::Direct { message_id });
+        let commands = self.drain_outbox(m, MAX_COMMANDS, Sent::Direct { message_id });
         let starts = commands
             .iter()
             .filter(|command| command.verb == Verb::Start)
--- a/src/coordination/instances.rs
+++ b/src/coordination/instances.rs
@@ -90,7 +90,7 @@
         }
         let worker = &mut self.workers[m];
         worker.outbox.clear();
-        worker.orphaned_tasks = OrphanedTasks::None;
+        worker.orphaned_tasks.clear();
     }
 
     /// Orders an instance to stop. Repeated after each heartbeat until it has an effect.
--- a/src/coordination/model/instance.rs
+++ b/src/coordination/model/instance.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Whether its start may still arrive, perhaps minutes late. Together with its stop it is sent
+    /// again then: held as an exited attempt that is never forgotten, the late start does nothing.
+    pub fn may_arrive_late(&self) -> bool {
+        self.unacknowledged && self.phase.is_none()
+    }
+
     /// How it ended, if it has.
     pub fn exit(&self) -> Option<Exit> {
         match self.phase {
--- a/src/coordination/model/mod.rs
+++ b/src/coordination/model/mod.rs
@@ -15,8 +15,7 @@
 pub use job::{Job, JobState, LargeTaskProfile, SchedulingClass, Task};
 pub use slab::Slab;
 pub use worker::{
-    HeartbeatReceipt, HeartbeatSequence, InFlightMessage, OrphanedTasks, Reservation, Unanswered,
-    Worker,
+    HeartbeatReceipt, HeartbeatSequence, InFlightMessage, Reservation, Unanswered, Worker,
 };
 
 /// Seconds on this controller's steady clock.
--- a/src/coordination/model/worker.rs
+++ b/src/coordination/model/worker.rs
@@ -3,22 +3,11 @@
 use std::collections::BTreeMap;
 
 use crate::protocol::job::Resources;
-use crate::protocol::worker::{Command, Heartbeat};
+use crate::protocol::worker::{Command, Heartbeat, TaskPhase, TaskStatus};
 
 use super::Time;
 use super::instance::{InstanceId, TaskInstance};
 
-/// Tasks on a worker of jobs that this leader does not know: most of these have ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum OrphanedTasks {
-    /// There are none.
-    None,
-    /// All have exited, and are to be forgotten.
-    Ended,
-    /// Some run: they take room of the worker, and of some team.
-    Run,
-}
-
 /// A direct message to a worker that has no outcome yet.
 #[derive(Debug, Clone)]
 pub struct InFlightMessage {
@@ -111,8 +100,9 @@
     pub instances: BTreeMap<InstanceId, TaskInstance>,
     /// Resources of the instances that may be on it.
     pub used: Resources,
-    /// It has reported tasks of unknown jobs, whose resources are unknown too.
-    pub orphaned_tasks: OrphanedTasks,
+    /// The tasks in its newest message of jobs that this leader does not know: most of these have
+    /// ended. Those that run take room of the worker, and of some team; how much is unknown too.
+    pub orphaned_tasks: Vec<TaskStatus>,
     /// Commands that have not left yet.
     pub outbox: Vec<Command>,
     /// The direct message that is out to it; there is one at a time.
@@ -185,7 +175,7 @@
             reclaim_at: None,
             instances: BTreeMap::new(),
             used: Resources::default(),
-            orphaned_tasks: OrphanedTasks::None,
+            orphaned_tasks: Vec::new(),
             outbox: Vec::new(),
             in_flight: None,
             page: None,
@@ -222,6 +212,12 @@
         self.incarnation > self.expired_incarnation
     }
 
+    /// Its tasks that run and belong to no job that this leader knows.
+    pub fn running_orphans(&self) -> impl Iterator<Item = &TaskStatus> {
+        let runs = |status: &&TaskStatus| !matches!(status.phase, TaskPhase::Exited(_));
+        self.orphaned_tasks.iter().filter(runs)
+    }
+
     /// Adds commands to what is to be sent, less those that already are.
     pub fn queue_missing(&mut self, commands: Vec<Command>) {
         for command in commands {
--- a/src/coordination/provisioning/scale_in.rs
+++ b/src/coordination/provisioning/scale_in.rs
@@ -87,9 +87,7 @@
 
 /// Whether nothing is on a worker or on its way to it.
 fn is_empty(worker: &Worker) -> bool {
-    worker.instances.is_empty()
-        && worker.orphaned_tasks == OrphanedTasks::None
-        && worker.in_flight.is_none()
+    worker.instances.is_empty() && worker.orphaned_tasks.is_empty() && worker.in_flight.is_none()
 }
 
 /// Logs one worker by name, several by their number and by name at debug level.
--- a/src/coordination/reconciliation/blocked_jobs.rs
+++ b/src/coordination/reconciliation/blocked_jobs.rs
@@ -2,7 +2,6 @@
 
 use crate::protocol::job::Resources;
 
-use crate::coordination::model::*;
 use crate::coordination::state::{Core, TeamUsage};
 
 impl Core {
@@ -82,7 +81,7 @@
         let with_orphans = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.orphaned_tasks == OrphanedTasks::Run)
+            .filter(|(_, worker)| worker.running_orphans().next().is_some())
             .map(|(m, _)| m);
         let mut hidden = Resources::default();
         let mut unbounded = unknown_workers;
--- a/src/coordination/reconciliation/heartbeats.rs
+++ b/src/coordination/reconciliation/heartbeats.rs
@@ -4,7 +4,7 @@
 
 use copperfield_sharding::Route;
 
-use crate::protocol::worker::{Command, Heartbeat, TaskPhase, TaskStatus, Verb, commands_body};
+use crate::protocol::worker::{Command, Heartbeat, TaskStatus, Verb, commands_body};
 
 use crate::coordination::messages::{Effect, HeartbeatRefusal, HeartbeatSource};
 use crate::coordination::model::*;
@@ -96,12 +96,13 @@
         }
         self.workers[m].answered_at = Some(self.now);
         let sequence = HeartbeatSequence::of(&heartbeat);
-        let counter = heartbeat.counter;
-        let mut commands = Vec::new();
-        if newer {
+        let commands = if newer {
             self.apply_heartbeat(m, heartbeat, HeartbeatSource::Worker);
-            commands = self.collect_commands(m, counter);
-        }
+            self.collect_commands(m, sequence.counter)
+        } else {
+            // A direct answer has overtaken it. It renews the lease all the same.
+            self.due_stops(m)
+        };
         self.record_renewal(m, sequence, !newer, &commands);
         self.effects.push(Effect::Answer {
             ticket,
@@ -184,16 +185,14 @@
         let (listed, orphaned_tasks) = self.apply_listed_tasks(m, &heartbeat.tasks);
         self.remove_absent_instances(m, &listed, counter, source);
         self.workers[m].orphaned_tasks = orphaned_tasks;
-        if orphaned_tasks != OrphanedTasks::None {
-            self.clear_orphaned_tasks(m, &heartbeat.tasks);
-        }
+        self.clear_orphaned_tasks(m);
         self.log_applied(m, &heartbeat, source, was_reconciled);
         if reclaim_noticed {
             self.save_before_reclaim(m);
         }
         let now = self.now;
         let worker = &mut self.workers[m];
-        if worker.instances.is_empty() && orphaned_tasks == OrphanedTasks::None {
+        if worker.instances.is_empty() && worker.orphaned_tasks.is_empty() {
             worker.idle_since.get_or_insert(now);
         } else {
             worker.idle_since = None;
@@ -209,8 +208,8 @@
     ) {
         let worker = &self.workers[m];
         let reconciles = worker.reconciled && !was_reconciled;
-        let orphaned = worker.orphaned_tasks == OrphanedTasks::Run;
-        if !reconciles && !orphaned {
+        let orphaned = worker.running_orphans().count();
+        if !reconciles && orphaned == 0 {
             return;
         }
         let applied = AppliedHeartbeat {
@@ -219,26 +218,17 @@
             direct: source != HeartbeatSource::Worker,
             token: heartbeat.token,
             tasks: heartbeat.tasks.len(),
-            orphaned: self.count_orphans(&heartbeat.tasks),
+            orphaned,
         };
         let log = &mut self.reconciliation.lease_log;
         if reconciles {
             log.record_reconciliation(self.now, &applied);
         }
-        if orphaned {
+        if orphaned > 0 {
             log.record_orphans(self.now, &applied);
         }
     }
 
-    /// How many of these tasks run and belong to no job that this leader knows.
-    fn count_orphans(&self, tasks: &[TaskStatus]) -> usize {
-        let runs = |status: &&TaskStatus| !matches!(status.phase, TaskPhase::Exited(_));
-        let running = tasks.iter().filter(runs);
-        running
-            .filter(|status| self.known_job_of(status).is_none())
-            .count()
-    }
-
     /// A new process of the worker holds none of the tasks of those before it.
     fn begin_incarnation(&mut self, m: u32) {
         let worker = &mut self.workers[m];
@@ -276,22 +266,18 @@
         false
     }
 
-    /// Applies the status of each listed task. The instances that were listed, and what was
-    /// listed of jobs that are not known.
+    /// Applies the status of each listed task. The instances that were listed, and the tasks of
+    /// jobs that are not known.
     fn apply_listed_tasks(
         &mut self,
         m: u32,
         tasks: &[TaskStatus],
-    ) -> (BTreeSet<InstanceId>, OrphanedTasks) {
+    ) -> (BTreeSet<InstanceId>, Vec<TaskStatus>) {
         let mut listed = BTreeSet::new();
-        let mut orphaned_tasks = OrphanedTasks::None;
+        let mut orphaned_tasks = Vec::new();
         for status in tasks {
             let Some(job) = self.known_job_of(status) else {
-                let orphaned = match status.phase {
-                    TaskPhase::Exited(_) => OrphanedTasks::Ended,
-                    _ => OrphanedTasks::Run,
-                };
-                orphaned_tasks = orphaned_tasks.max(orphaned);
+                orphaned_tasks.push(status.clone());
                 continue;
             };
             let id = InstanceId {
--- a/src/coordination/reconciliation/task_status.rs
+++ b/src/coordination/reconciliation/task_status.rs
@@ -148,20 +148,22 @@
 
     /// Tasks of jobs that nobody knows, or that ended long ago: stopped, and forgotten once they
     /// have exited.
-    pub(super) fn clear_orphaned_tasks(&mut self, m: u32, tasks: &[TaskStatus]) {
-        let commands = tasks
-            .iter()
-            .filter(|status| self.known_job_of(status).is_none())
-            .map(|status| Command {
-                verb: match status.phase {
-                    TaskPhase::Exited(_) => Verb::Forget,
-                    _ => Verb::Stop { grace_s: 0.0 },
-                },
-                job: status.job,
-                task: status.task,
-                attempt: status.attempt,
-            })
-            .collect();
+    pub(super) fn clear_orphaned_tasks(&mut self, m: u32) {
+        let orphaned = self.workers[m].orphaned_tasks.iter();
+        let commands = orphaned.map(orphan_command).collect();
         self.workers[m].queue_missing(commands);
     }
 }
+
+/// What is ordered of a task that belongs to no job that this leader knows.
+pub(super) fn orphan_command(status: &TaskStatus) -> Command {
+    Command {
+        verb: match status.phase {
+            TaskPhase::Exited(_) => Verb::Forget,
+            _ => Verb::Stop { grace_s: 0.0 },
+        },
+        job: status.job,
+        task: status.task,
+        attempt: status.attempt,
+    }
+}
--- a/src/coordination/reconciliation/worker_commands.rs
+++ b/src/coordination/reconciliation/worker_commands.rs
@@ -5,20 +5,54 @@
 use crate::coordination::model::*;
 use crate::coordination::state::Core;
 
+use super::task_status::orphan_command;
+
 /// A stop that had no effect for so long is sent again.
 const STOP_RETRY_S: Time = 1.0;
 
 impl Core {
-    /// What goes back with the answer to a heartbeat.
+    /// What goes back with the answer to the newest heartbeat of a worker, the stops first.
     pub(super) fn collect_commands(&mut self, m: u32, counter: u64) -> Vec<Command> {
-        let mut commands = Vec::new();
+        let mut commands = self.due_stops(m);
+        let room = MAX_COMMANDS - commands.len();
         if self.workers[m].in_flight.is_none() {
-            commands = self.drain_outbox(m, Sent::Response { counter });
+            let queued = self.drain_outbox(m, room, Sent::Response { counter });
+            add_missing(&mut commands, queued);
         }
-        commands.extend(self.follow_up_commands(m, MAX_COMMANDS.saturating_sub(commands.len())));
+        let room = MAX_COMMANDS - commands.len();
+        let follow_up = self.follow_up_commands(m, room);
+        add_missing(&mut commands, follow_up);
         commands
     }
 
+    /// What must stop on a worker now. Each answer to a heartbeat carries it, for each renews the
+    /// lease: of all tasks whose jobs have ended or are being cancelled, and of what else was
+    /// ordered to stop and has not been sent. Also while a direct message is out that may carry the
+    /// same, and whether or not it was sent before: stops may be repeated, and messages be lost. At
+    /// most as many as an answer may have.
+    ///
+    /// The stops once left with the queue alone, which waits while a message is out. Leases were
+    /// renewed again and again without them (docs/incidents/ran-cancelled-e117.md).
+    pub(super) fn due_stops(&self, m: u32) -> Vec<Command> {
+        let worker = &self.workers[m];
+        let mut stops: Vec<Command> = worker.running_orphans().map(orphan_command).collect();
+        for (id, instance) in &worker.instances {
+            let ends = self.jobs[id.job].is_ending() && instance.exit().is_none();
+            if !ends || instance.sent == Sent::Queued {
+                continue;
+            }
+            if instance.may_arrive_late() {
+                stops.push(self.command(*id, Verb::Start));
+            }
+            stops.push(self.command(*id, Verb::Stop { grace_s: 0.0 }));
+        }
+        let queued = worker.outbox.iter();
+        let queued = queued.filter(|command| matches!(command.verb, Verb::Stop { .. }));
+        add_missing(&mut stops, queued.cloned().collect());
+        stops.truncate(MAX_COMMANDS);
+        stops
+    }
+
     /// At most `limit` commands that follow from what a worker has just reported: what has exited
     /// is forgotten, what had no effect is sent again.
     pub(crate) fn follow_up_commands(&mut self, m: u32, limit: usize) -> Vec<Command> {
@@ -46,7 +80,7 @@
         let job = &self.jobs[id.job];
         let stored =
             job.tasks[id.task as usize].stored || matches!(job.state, JobState::Terminal(_));
-        let never_reported = instance.unacknowledged && instance.phase.is_none();
+        let never_reported = instance.may_arrive_late();
         match (instance.exit(), instance.stop) {
             // A start that may still arrive would start a forgotten attempt anew.
             (Some(_), _) if instance.unacknowledged => FollowUp::Nothing,
@@ -79,12 +113,11 @@
         self.command(id, Verb::Stop { grace_s })
     }
 
-    /// Takes the commands that are to be sent, as many as a message may have, and records how
-    /// their starts leave.
-    pub(crate) fn drain_outbox(&mut self, m: u32, how: Sent) -> Vec<Command> {
+    /// Takes the commands that are to be sent, at most `limit`, and records how their starts leave.
+    pub(crate) fn drain_outbox(&mut self, m: u32, limit: usize, how: Sent) -> Vec<Command> {
         let now = self.now;
         let worker = &mut self.workers[m];
-        let count = worker.outbox.len().min(MAX_COMMANDS);
+        let count = worker.outbox.len().min(limit);
         let later = worker.outbox.split_off(count);
         let commands = std::mem::replace(&mut worker.outbox, later);
         for command in &commands {
@@ -113,6 +146,15 @@
     }
 }
 
+/// Adds the commands that are not among these yet.
+fn add_missing(commands: &mut Vec<Command>, more: Vec<Command>) {
+    for command in more {
+        if !commands.contains(&command) {
+            commands.push(command);
+        }
+    }
+}
+
 /// What is sent for one instance after a heartbeat.
 enum FollowUp {
     Nothing,
--- a/src/coordination/start_conditions.rs
+++ b/src/coordination/start_conditions.rs
@@ -105,7 +105,7 @@
         worker.reconciled
             && !worker.returning
             && !worker.draining
-            && worker.orphaned_tasks == OrphanedTasks::None
+            && worker.orphaned_tasks.is_empty()
             && !worker.commands_unanswered
             && worker.registered
             && !worker.fenced
--- a/tests/cancelled_tasks.rs
+++ b/tests/cancelled_tasks.rs
@@ -84,7 +84,9 @@
         let body = json!({"uid": "wk-000001", "shards": 1, "cpus": 1.0, "runtime_s": 900.0});
         let jobs: Vec<StoredJob> = vec![stored(&body, TOKEN - 1)];
         let workers = [(WORKER.to_string(), "a".to_string())];
-        let core = elected_leader(&["a"], json!({"name": "team"}), workers, jobs);
+        let mut core = elected_leader(&["a"], json!({"name": "team"}), workers, jobs);
+        // Without a bound on clocks nothing is put on the fencing record.
+        core.config.cluster.clock_error_ms = 25.0;
         Self {
             core,
             now: 0.0,
--- a/tests/shard_owners.rs
+++ b/tests/shard_owners.rs
@@ -28,6 +28,8 @@
     next_heartbeat_at: f64,
     /// Whether commands reach the worker.
     reachable: bool,
+    /// Whether the leader learns that its cancellation is stored.
+    acknowledges: bool,
     ticket: u64,
     /// When each answer of the shard owner left.
     answered_at: Vec<f64>,
@@ -91,6 +93,7 @@
             },
             next_heartbeat_at: 0.0,
             reachable: true,
+            acknowledges: true,
             ticket: 0,
             answered_at: Vec::new(),
             redirected_at: Vec::new(),
@@ -163,6 +166,9 @@
                     }
                     Effect::Cancel { begin, .. } => {
                         assert!(matches!(begin, CancelBegin::Go { .. }), "{begin:?}");
+                        if !self.acknowledges {
+                            continue;
+                        }
                         let end = Some(JobOutcome {
                             phase: Phase::Cancelled,
                             done: 0,
@@ -204,6 +210,45 @@
     assert!(!exchange.redirected_at.is_empty());
 }
 
+/// The worker runs a task of a job that had ended before the leader was elected, and commands do not
+/// reach it. How long ago its user was told nobody knows, so no shard owner may renew its lease.
+#[test]
+fn a_worker_that_runs_a_task_of_an_unknown_job_is_answered_by_no_shard_owner() {
+    let mut exchange = Exchange::new();
+    exchange.worker.tasks[0].job = JobId(9);
+    exchange.reachable = false;
+    exchange.run(60.0, Vec::new());
+    assert!(
+        exchange.answered_at.is_empty(),
+        "{:?}",
+        exchange.answered_at
+    );
+    assert!(!exchange.redirected_at.is_empty());
+}
+
+/// The leader learns of a task only long after the cancellation of its job: the worker could not be
+/// reached meanwhile. What is left of its lease by then may be all that the cancellation allows.
+#[test]
+fn a_worker_that_reports_a_task_long_after_its_cancellation_is_answered_by_no_shard_owner() {
+    for acknowledges in [true, false] {
+        let mut exchange = Exchange::new();
+        exchange.acknowledges = acknowledges;
+        exchange.reachable = false;
+        exchange.next_heartbeat_at = 20.0;
+        let cancel = Input::CancelBegin {
+            ticket: 1,
+            job: JobId(1),
+        };
+        exchange.run(60.0, vec![cancel]);
+        assert!(
+            exchange.answered_at.is_empty(),
+            "{:?}",
+            exchange.answered_at
+        );
+        assert!(!exchange.redirected_at.is_empty());
+    }
+}
+
 /// Without faults a worker keeps its shard owner, which asks the leader once.
 #[test]
 fn an_owned_worker_keeps_its_owner_and_is_answered_at_once() {
