Only the leader answers a worker that runs a task of an ended or unknown job

Cause: a shard owner's answer carries no commands. The leader took a worker back six seconds after it had ordered a stop there; the order to an instance that it learned of late counted from then, not from the cancellation, and orphaned tasks did not count at all, so a worker that direct messages did not reach had its lease renewed for ever (owner answers every 10 s in the test). Change: the time counts from when the job began to end, which the job keeps now, and an orphaned task that runs counts at once.

--- a/src/coordination/cancellation.rs
+++ b/src/coordination/cancellation.rs
@@ -21,7 +21,7 @@
             JobState::Terminal(outcome) => CancelBegin::Terminal(outcome),
             JobState::Finishing => CancelBegin::Busy,
             JobState::Live | JobState::Cancelling => {
-                self.jobs[ix].state = JobState::Cancelling;
+                self.jobs[ix].begin_cancelling(self.now);
                 // Before it is stored: whether it was may stay unknown for as long as the state
                 // service is down, while another controller has read that it was, and has
                 // answered the user so.
@@ -43,7 +43,7 @@
         if let Some(ix) = self.jobs.index_of(id)
             && self.jobs[ix].state == JobState::Cancelling
         {
-            self.jobs[ix].state = JobState::Live;
+            self.jobs[ix].resume();
             self.finish_if_done(ix);
         }
     }
--- a/src/coordination/instances.rs
+++ b/src/coordination/instances.rs
@@ -110,7 +110,6 @@
         }
         instance.stop = Some(Stop {
             grace_s,
-            ordered_at: instance.stop.map_or(self.now, |stop| stop.ordered_at),
             sent_at: None,
         });
         let command = self.command(id, Verb::Stop { grace_s });
--- a/src/coordination/jobs.rs
+++ b/src/coordination/jobs.rs
@@ -56,7 +56,7 @@
         let tuning = &self.config.tuning;
         let mut job = Job::new(spec, team, image);
         if self.jobs.is_cancelled_early(id) {
-            job.state = JobState::Cancelling;
+            job.begin_cancelling(self.now);
         }
         job.version = stored.version;
         job.zone = zone;
@@ -114,7 +114,7 @@
             return;
         };
         let job = &mut self.jobs[ix];
-        job.state = JobState::Terminal(outcome);
+        job.end(outcome, self.now);
         let chunks: Vec<(u32, u64)> = (0u32..).zip(job.chunks.iter().copied()).collect();
         for (chunk, version) in chunks {
             self.drop_chunk(id, chunk, version);
--- a/src/coordination/model/instance.rs
+++ b/src/coordination/model/instance.rs
@@ -48,8 +48,6 @@
 pub struct Stop {
     /// How long the task may take to save its work.
     pub grace_s: f64,
-    /// When it was first ordered, whatever the grace period was.
-    pub ordered_at: Time,
     /// When it last left for the worker.
     pub sent_at: Option<Time>,
 }
--- a/src/coordination/model/job.rs
+++ b/src/coordination/model/job.rs
@@ -42,6 +42,8 @@
     pub version: u64,
     /// How far it has come.
     pub state: JobState,
+    /// Since when this leader knows that it is to end.
+    pub ending_since: Option<Time>,
     /// Index of its team.
     pub team: u32,
     /// Index of its image.
@@ -122,6 +124,7 @@
         Self {
             version: 0,
             state: JobState::Live,
+            ending_since: None,
             team,
             image,
             zone: None,
@@ -170,6 +173,24 @@
         matches!(self.state, JobState::Cancelling | JobState::Terminal(_))
     }
 
+    /// Its user has asked to cancel it.
+    pub fn begin_cancelling(&mut self, now: Time) {
+        self.state = JobState::Cancelling;
+        self.ending_since.get_or_insert(now);
+    }
+
+    /// It was to be cancelled, and is not.
+    pub fn resume(&mut self) {
+        self.state = JobState::Live;
+        self.ending_since = None;
+    }
+
+    /// Its end is stored.
+    pub fn end(&mut self, outcome: JobOutcome, now: Time) {
+        self.state = JobState::Terminal(outcome);
+        self.ending_since.get_or_insert(now);
+    }
+
     /// Whether its tasks run together or not at all.
     pub fn is_gang(&self) -> bool {
         self.spec.kind == Kind::Gang
--- a/src/coordination/reconciliation/worker_commands.rs
+++ b/src/coordination/reconciliation/worker_commands.rs
@@ -32,7 +32,7 @@
     /// most as many as an answer may have.
     ///
     /// The stops once left with the queue alone, which waits while a message is out. Leases were
-    /// renewed again and again without them (docs/incidents/ran-cancelled-e117.md).
+    /// renewed again and again without them (docs/incidents/cancelled-task-ran-on.md).
     pub(super) fn due_stops(&self, m: u32) -> Vec<Command> {
         let worker = &self.workers[m];
         let mut stops: Vec<Command> = worker.running_orphans().map(orphan_command).collect();
--- a/src/coordination/sharding/balance.rs
+++ b/src/coordination/sharding/balance.rs
@@ -63,7 +63,7 @@
 
 /// The workers that are late.
 struct LateWorkers {
-    /// Their numbers, and those of workers that ignore a stop.
+    /// Their numbers, and those of workers whose answers must carry stops.
     to_revoke: Vec<u32>,
     /// So many are late that a mass loss is being handled.
     is_mass_loss: bool,
@@ -105,7 +105,12 @@
                 && let Some(worker) = sharding.worker_names.get(&number)
             {
                 let log = &mut self.reconciliation.lease_log;
-                log.record_assignment(self.now, worker, None, "late or ignores a stop");
+                log.record_assignment(
+                    self.now,
+                    worker,
+                    None,
+                    "late, or runs a task that is to stop",
+                );
             }
             if sharding.coordinator.unanswered_since(number).is_none() {
                 sharding.coordinator.revoke(number);
@@ -124,7 +129,7 @@
             all += 1;
             // A worker whose lease has expired is dealt with.
             late += usize::from(is_late && !lease_expired);
-            if is_late || self.ignores_stop(m) {
+            if is_late || self.needs_stops_in_answers(m) {
                 to_revoke.push(worker.number);
             }
         }
--- a/src/coordination/sharding/routing.rs
+++ b/src/coordination/sharding/routing.rs
@@ -8,8 +8,8 @@
 use crate::coordination::state::Core;
 use crate::coordination::time::ceil_ms;
 
-/// A worker on which a stop at once has had no effect for so long is answered by the leader alone:
-/// its answers carry commands, and without answers the worker's lease expires.
+/// A worker that still runs a task of a job that has been ending for so long is answered by the
+/// leader alone: its answers carry commands, and without answers the worker's lease expires.
 const STOP_TIMEOUT_S: Time = 6.0;
 
 impl Core {
@@ -51,21 +51,25 @@
                 AnswerPermission::Nobody
             };
         }
-        if self.ignores_stop(m) {
+        if self.needs_stops_in_answers(m) {
             AnswerPermission::LeaderOnly
         } else {
             AnswerPermission::AnyController
         }
     }
 
-    /// Whether a task instance is still on a worker long after it was to stop at once.
-    pub(super) fn ignores_stop(&self, m: u32) -> bool {
-        self.workers[m].instances.iter().any(|(key, instance)| {
-            let ordered_at = instance.stop.map(|stop| stop.ordered_at);
+    /// Whether a worker's lease may be renewed only together with its stops: it still runs a task of
+    /// a job that has been ending for long, or of one that this leader does not know, so that it may
+    /// have ended at any time. Counted from when the job began to end and not from the order to this
+    /// instance, of which the leader may have learned only now.
+    pub(super) fn needs_stops_in_answers(&self, m: u32) -> bool {
+        let worker = &self.workers[m];
+        let runs_ended_task = |(id, instance): (&InstanceId, &TaskInstance)| {
+            let ending_since = self.jobs[id.job].ending_since;
             instance.exit().is_none()
-                && ordered_at.is_some_and(|at| self.now - at > STOP_TIMEOUT_S)
-                && !matches!(self.jobs[key.job].state, JobState::Live)
-        })
+                && ending_since.is_some_and(|since| self.now - since > STOP_TIMEOUT_S)
+        };
+        worker.running_orphans().next().is_some() || worker.instances.iter().any(runs_ended_task)
     }
 
     /// Where a heartbeat that the controller `at` received is to be answered. `waits`: its worker
