Model: direct messages beside answers, overtaken heartbeats, orphaned tasks

The model of cancellations let every answer carry the stop and granted no shard lease once the job was to end, which the program did not hold to. New in it: direct messages that are out, late or lost, heartbeats that a direct answer has overtaken, and jobs that had ended before the leader's election.

--- a/crates/leadership/tests/cancellation/main.rs
+++ b/crates/leadership/tests/cancellation/main.rs
@@ -3,7 +3,8 @@
 //! late.
 //!
 //! One worker runs the only task of one job. Whoever may answer it renews its lease, and stops
-//! the task if it knows that the job is to end. The property: if users were answered at t that
+//! the task if it knows that the job is to end. Leaders also send direct messages, which renew no
+//! lease and may be late or lost. The property: if users were answered at t that
 //! the job is cancelled, the task is gone after t + a shard owner's lease + the worker's lease. That
 //! is the invariant of docs/notes/cancellation.md; each planted mistake breaks it.
 
@@ -48,6 +49,9 @@
         RecoversBeforeElection,
         ShardLeaseOutlivesLeader,
         RenewsShardLeaseAfterCancellation,
+        GrantsShardLeaseForOrphanedTask,
+        StopWaitsForDirectMessage,
+        OvertakenHeartbeatGetsNoStop,
         CancellationNotGuarded,
     ] {
         let found = walk(&CancellationWorld::new(mistake), 400_000, 80);
--- a/crates/leadership/tests/cancellation/steps.rs
+++ b/crates/leadership/tests/cancellation/steps.rs
@@ -5,7 +5,8 @@
 
 use crate::common::{TTL, of};
 use crate::world::{
-    CancellationWorld, Guard, HORIZON, JobView, LeaderKey, Mistake, ShardLease, Transaction,
+    CancellationWorld, DirectMessage, Guard, HORIZON, JobView, LeaderKey, Mistake, ShardLease,
+    Transaction,
 };
 
 type Steps<'a> = Successors<'a, CancellationWorld>;
@@ -102,7 +103,7 @@
         let may_read = leads || self.mistake == Mistake::RecoversBeforeElection;
         let unread = controller.view == JobView::Unread;
         controller.view = if self.cancellation_stored {
-            JobView::Ended
+            JobView::EndedBefore
         } else {
             JobView::Running
         };
@@ -225,13 +226,56 @@
         let Some(token) = self.token(c).filter(|_| self.is_valid_leader(c)) else {
             return false;
         };
-        let stops_task = match self.controllers[c].view {
-            JobView::Unread if self.mistake != Mistake::AnswersBeforeRecovery => return false,
-            JobView::Unread | JobView::Running => false,
-            JobView::Cancelling => self.mistake != Mistake::RenewsTaskUntilOutcomeIsKnown,
-            JobView::Ended => true,
+        let view = self.controllers[c].view;
+        if view == JobView::Unread && self.mistake != Mistake::AnswersBeforeRecovery {
+            return false;
+        }
+        let withheld = match self.mistake {
+            Mistake::RenewsTaskUntilOutcomeIsKnown => view == JobView::Cancelling,
+            Mistake::StopWaitsForDirectMessage => self.message.is_some_and(|m| m.sender == c),
+            Mistake::OvertakenHeartbeatGetsNoStop => self.overtaken_at == Some(c),
+            _ => false,
+        };
+        let was_overtaken = std::mem::take(&mut self.overtaken_at).is_some();
+        self.answer_worker(token, view.is_ending() && !withheld) || was_overtaken
+    }
+
+    pub fn add_message_steps(&self, steps: &mut Steps) {
+        for c in 0..self.controllers.len() {
+            steps.add(of!(c, "sends the worker a direct message"), |w| {
+                w.send_message(c)
+            });
+        }
+        steps.add("the direct message is carried out", Self::deliver_message);
+        steps.add("the direct message is lost", |w| w.message.take().is_some());
+    }
+
+    fn send_message(&mut self, c: usize) -> bool {
+        let Some(token) = self.token(c).filter(|_| self.is_valid_leader(c)) else {
+            return false;
         };
-        self.answer_worker(token, stops_task)
+        let stops_task = self.controllers[c].view.is_ending();
+        let is_free = self.message.is_none();
+        self.message.get_or_insert(DirectMessage {
+            sender: c,
+            token,
+            stops_task,
+        });
+        is_free
+    }
+
+    /// The worker executes the message unless it knows a newer leader. The answer reaches the
+    /// sender before the heartbeat that the worker has sent before.
+    fn deliver_message(&mut self) -> bool {
+        let Some(message) = self.message.take() else {
+            return false;
+        };
+        if message.token >= self.worker.token {
+            self.worker.token = message.token;
+            self.worker.runs_task &= !message.stops_task;
+            self.overtaken_at = Some(message.sender);
+        }
+        true
     }
 
     fn grant_shard_lease(&mut self, c: usize) -> bool {
@@ -240,9 +284,12 @@
         let Some(token) = self.token(c).filter(|_| valid_for > 0) else {
             return false;
         };
-        let job_ends = matches!(controller.view, JobView::Cancelling | JobView::Ended);
-        let goes_on = self.mistake == Mistake::RenewsShardLeaseAfterCancellation;
-        if controller.view == JobView::Unread || (job_ends && !goes_on) {
+        let goes_on = match self.mistake {
+            Mistake::RenewsShardLeaseAfterCancellation => true,
+            Mistake::GrantsShardLeaseForOrphanedTask => controller.view == JobView::EndedBefore,
+            _ => false,
+        };
+        if controller.view == JobView::Unread || (controller.view.is_ending() && !goes_on) {
             return false;
         }
         let excess = match self.mistake {
--- a/crates/leadership/tests/cancellation/world.rs
+++ b/crates/leadership/tests/cancellation/world.rs
@@ -26,6 +26,14 @@
     ShardLeaseOutlivesLeader,
     /// The shard lease for the worker is renewed though the job there is to end.
     RenewsShardLeaseAfterCancellation,
+    /// A shard lease is granted for a worker whose task is of a job that had ended before the leader
+    /// was elected. This program did so.
+    GrantsShardLeaseForOrphanedTask,
+    /// While a direct message is out, answers renew the lease without the stop. This program did so.
+    StopWaitsForDirectMessage,
+    /// The answer to a heartbeat that a direct answer has overtaken renews the lease without the
+    /// stop. This program did so.
+    OvertakenHeartbeatGetsNoStop,
     /// The leader's transaction is not guarded by its key.
     CancellationNotGuarded,
     /// Votes make a leader valid again whose lease has expired.
@@ -43,6 +51,23 @@
     /// A transaction that cancels it was sent; its outcome is unknown.
     Cancelling,
     Ended,
+    /// It had ended before this leader was elected: a task of it is orphaned.
+    EndedBefore,
+}
+
+impl JobView {
+    /// Whether a task of the job is to stop.
+    pub fn is_ending(self) -> bool {
+        matches!(self, Self::Cancelling | Self::Ended | Self::EndedBefore)
+    }
+}
+
+/// A direct message to the worker. It may arrive at any time, and renews no lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct DirectMessage {
+    pub sender: usize,
+    pub token: u8,
+    pub stops_task: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -102,7 +127,7 @@
     pub runs_task: bool,
     lease_renewed_at: u64,
     /// The greatest fencing token that it has seen.
-    token: u8,
+    pub token: u8,
 }
 
 /// Until when the other controller may answer the worker under the token of its leader.
@@ -126,6 +151,11 @@
     pub reported_at: Option<u64>,
     pub worker: Worker,
     pub shard_lease: ShardLease,
+    /// The direct message that is out, or held up by the network.
+    pub message: Option<DirectMessage>,
+    /// The leader that has had an answer to a direct message, which is newer than the heartbeat
+    /// that the worker waits with.
+    pub overtaken_at: Option<usize>,
     pub faults: Faults,
 }
 
@@ -160,6 +190,8 @@
                 token: 1,
             },
             shard_lease: ShardLease { token: 0, until: 0 },
+            message: None,
+            overtaken_at: None,
             faults: Faults::new(2, 3, 2),
         }
     }
@@ -247,6 +279,7 @@
             self.add_cancellation_steps(c, &mut steps);
             self.add_worker_steps(c, &mut steps);
         }
+        self.add_message_steps(&mut steps);
         self.add_shard_owner_step(&mut steps);
         steps.into_vec()
     }
