Relay failures carry their outcome, shard status answers their update

Names left from the earlier house style in coordination/messages: a flag 'surely' that two places turned into an outcome and back, and a field 'down'.

--- a/src/controller/effects/peers.rs
+++ b/src/controller/effects/peers.rs
@@ -9,7 +9,7 @@
 use super::workers;
 use crate::controller::commands::{Command, Handle};
 use crate::controller::context::ControllerContext;
-use crate::coordination::core::Input;
+use crate::coordination::core::{Input, Outcome};
 use crate::protocol::peer::{PeerReply, PeerRequest, RelayedCommand};
 use crate::storage::store::call_peer;
 use crate::transport::client::{Answer, CallError};
@@ -35,15 +35,15 @@
     let message_ids = messages.iter().map(|m| m.message_id).collect();
     let body = borsh::to_vec(&PeerRequest::RelayCommands { token, messages })
         .expect("serializing to memory does not fail");
-    let surely = match call_relay(context, token, to, body).await {
+    let outcome = match call_relay(context, token, to, body).await {
         RelayResult::Accepted => return None,
-        RelayResult::Rejected => true,
-        RelayResult::Unknown => false,
+        RelayResult::Rejected => Outcome::Unsent,
+        RelayResult::Unknown => Outcome::Unknown,
     };
     Some(Input::RelayFailed {
         controller,
         message_ids,
-        surely,
+        outcome,
     })
 }
 
--- a/src/controller/leading.rs
+++ b/src/controller/leading.rs
@@ -110,7 +110,7 @@
                 let response = context.redirect_worker(Some(member));
                 self.replies.answer_heartbeat(ticket, response);
             }
-            Effect::Granted { ticket, down } => self.replies.answer_shard_status(ticket, down),
+            Effect::Granted { ticket, update } => self.replies.answer_shard_status(ticket, update),
             Effect::Cancel { ticket, begin } => {
                 let token = self.core.token;
                 let begun = BegunCancellation { begin, token };
--- a/src/coordination/core.rs
+++ b/src/coordination/core.rs
@@ -240,8 +240,8 @@
             Input::RelayFailed {
                 controller,
                 message_ids,
-                surely,
-            } => self.handle_relay_failure(controller, message_ids, surely),
+                outcome,
+            } => self.handle_relay_failure(controller, message_ids, &outcome),
             Input::Job(job) => self.add_job(job),
             Input::CancelBegin { ticket, job } => {
                 let begin = self.begin_cancellation(job);
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -32,8 +32,8 @@
     RelayFailed {
         controller: u32,
         message_ids: Vec<u64>,
-        /// It surely delivers none of them.
-        surely: bool,
+        /// Of each: unsent, or not known.
+        outcome: Outcome,
     },
     /// The watch has shown a stored job.
     Job(StoredJob),
@@ -102,7 +102,7 @@
     /// Answer a shard owner; `None`: a newer status of the same owner has come before.
     Granted {
         ticket: u64,
-        down: Option<ShardUpdate>,
+        update: Option<ShardUpdate>,
     },
     /// Send commands to a worker.
     Direct {
--- a/src/coordination/sharding/relays.rs
+++ b/src/coordination/sharding/relays.rs
@@ -109,22 +109,17 @@
         }
     }
 
-    /// Handles messages that a relay did not accept. `surely`: it sends none of them.
+    /// Handles messages that a relay did not accept, all with the same outcome.
     pub(in crate::coordination) fn handle_relay_failure(
         &mut self,
         controller: u32,
         message_ids: Vec<u64>,
-        surely: bool,
+        outcome: &Outcome,
     ) {
         if let Some(sharding) = &mut self.sharding {
             let now = ceil_ms(self.now);
             sharding.coordinator.mark_relay_failed(controller, now);
         }
-        let outcome = if surely {
-            Outcome::Unsent
-        } else {
-            Outcome::Unknown
-        };
         for message_id in message_ids {
             self.end_relayed_message(message_id, outcome.clone());
         }
--- a/src/coordination/sharding/status.rs
+++ b/src/coordination/sharding/status.rs
@@ -20,8 +20,8 @@
         ticket: u64,
         status: ShardStatus,
     ) {
-        let down = self.apply_shard_status(status);
-        self.effects.push(Effect::Granted { ticket, down });
+        let update = self.apply_shard_status(status);
+        self.effects.push(Effect::Granted { ticket, update });
     }
 
     /// `None` for a status of no peer, or one that is not newer than the last.
--- a/tests/shard_owners.rs
+++ b/tests/shard_owners.rs
@@ -142,9 +142,10 @@
             for effect in self.core.step(self.now, std::mem::take(&mut inputs)) {
                 match effect {
                     Effect::Granted {
-                        down: Some(down), ..
+                        update: Some(update),
+                        ..
                     } => {
-                        let actions = self.forwarder.handle_update(ms, &down);
+                        let actions = self.forwarder.handle_update(ms, &update);
                         self.record(actions);
                     }
                     Effect::Direct {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -117,7 +117,7 @@
                     ticket,
                     controller: node,
                 } => format!("report {ticket}: to node {node}"),
-                Effect::Granted { ticket, down } => format!("holder {ticket}: {down:?}"),
+                Effect::Granted { ticket, update } => format!("holder {ticket}: {update:?}"),
                 Effect::Write(batch) => {
                     // The state service of a trace takes every write at once.
                     let results = batch
