--- a/tests/compound_failures_random.rs
+++ b/tests/compound_failures_random.rs
@@ -1,7 +1,7 @@
 //! Two or three troubles that meet, drawn at random: which, how long, and how far apart. Every
 //! rule holds on each of these small days, and after them every job ends.
 //!
-//! `MEETINGS=5000 cargo test --release --test meetings drawn` searches further, from day
+//! `MEETINGS=5000 cargo test --release --test compound_failures_random drawn` searches further, from day
 //! `MEETINGS_FROM` on; `MEETING=1234` plays one day again.
 
 mod simulated_cluster;
@@ -21,6 +21,8 @@
 const AFTER_S: f64 = 60.0;
 const ROUNDS_A_DAY: u32 = 2;
 const DAYS: u64 = 100;
+/// Days under long leases; each is longer.
+const RETURNS: u64 = 40;
 
 fn trouble(rng: &mut StdRng) -> Fault {
     let worker = rng.random_range(1..=6);
@@ -80,20 +82,37 @@
     let limit = if seed.is_multiple_of(3) { LIMIT } else { 0.0 };
     simulate(async {
         let world = limited_site(seed, 0.002, limit);
-        for (id, zone, at) in [(101, "a", 4.0), (103, "b", 5.0)] {
-            let body = job(id, "sweep", 3, json!({"region": zone, "cpus": 1.0}));
-            let id = format!("wk-{id:06}");
-            tokio::spawn(user(world.clone(), id, body, 6.0, at, None));
-        }
-        let until = OVER_S + AFTER_S;
-        let (broken, _, told) = play_in(world, seed, faults, until, ROUNDS_A_DAY).await;
-        (broken, told)
+        play_day_in(world, seed, faults, OVER_S + AFTER_S).await
     })
 }
 
+/// The same in a world that was made for it.
+async fn play_day_in(
+    world: SharedCluster,
+    seed: u64,
+    faults: &[(f64, Fault)],
+    until: f64,
+) -> (Vec<String>, BTreeMap<String, Option<&'static str>>) {
+    for (id, zone, at) in [(101, "a", 4.0), (103, "b", 5.0)] {
+        let body = job(id, "sweep", 3, json!({"region": zone, "cpus": 1.0}));
+        let id = format!("wk-{id:06}");
+        tokio::spawn(user(world.clone(), id, body, 6.0, at, None));
+    }
+    let (broken, _, told) = play_in(world, seed, faults, until, ROUNDS_A_DAY).await;
+    (broken, told)
+}
+
 fn play_meeting(seed: u64) -> Result<(), String> {
     let faults = meeting(seed);
-    let (broken, told) = play_day(seed, &faults);
+    judge(seed, &faults, play_day(seed, &faults))
+}
+
+/// Which rules a day broke, and which jobs never ended.
+fn judge(
+    seed: u64,
+    faults: &[(f64, Fault)],
+    (broken, told): (Vec<String>, BTreeMap<String, Option<&'static str>>),
+) -> Result<(), String> {
     let open = never_ended(&told);
     if broken.is_empty() && open.is_empty() {
         return Ok(());
@@ -104,16 +123,69 @@
     ))
 }
 
-#[test]
-fn drawn_troubles_meet() {
+/// Workers that cannot be reached for about a lease beside a change of leader, while jobs are
+/// cancelled and direct messages are late, and that hang after they have come back; one more fault
+/// of any kind.
+fn return_after_cancellation(seed: u64) -> Vec<(f64, Fault)> {
+    let rng = &mut StdRng::seed_from_u64(seed);
+    let at = FIRST_S + rng.random_range(4.0..7.0);
+    let away_s = LONG_LEASE_S + rng.random_range(-3.0..0.5);
+    let back = at + away_s;
+    let cancel_at = at + rng.random_range(0.0..5.0);
+    let late_s = 2.0 * LONG_LEASE_S;
+    let mut all = vec![
+        (
+            at - rng.random_range(0.0..3.0),
+            Fault::RestartLeaders(1, rng.random_range(0.1..4.0)),
+        ),
+        (cancel_at, Fault::CancelNow(rng.random_range(2..7), 0.0)),
+        (
+            cancel_at,
+            Fault::LateCommands(rng.random_range(0.0..1.0), late_s),
+        ),
+        (rng.random_range(FIRST_S..back + 5.0), trouble(rng)),
+    ];
+    for worker in 1..=6 {
+        if rng.random_bool(0.7) {
+            all.push((at, Fault::CutWorker(worker, away_s)));
+        }
+        if rng.random_bool(0.5) {
+            let hang_at = back + rng.random_range(0.1..2.0);
+            all.push((hang_at, Fault::Hang(worker, LONG_LEASE_S - 1.0)));
+        }
+    }
+    all
+}
+
+fn play_return(seed: u64) -> Result<(), String> {
+    let faults = return_after_cancellation(seed);
+    let until = OVER_S + AFTER_S + 2.0 * LONG_LEASE_S;
+    let day = simulate(async { play_day_in(long_lease_site(seed), seed, &faults, until).await });
+    judge(seed, &faults, day)
+}
+
+/// The days that the environment asks for, or the first ones.
+fn wanted_days(usual: u64) -> std::ops::Range<u64> {
     let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
-    let days = match number("MEETING") {
+    match number("MEETING") {
         Some(day) => day..day + 1,
         None => {
             let first = number("MEETINGS_FROM").unwrap_or(0);
-            first..first + number("MEETINGS").unwrap_or(DAYS)
+            first..first + number("MEETINGS").unwrap_or(usual)
         }
-    };
+    }
+}
+
+#[test]
+fn drawn_troubles_meet() {
+    let days = wanted_days(DAYS);
     let failed: Vec<String> = days.filter_map(|seed| play_meeting(seed).err()).collect();
     assert!(failed.is_empty(), "{} days: {failed:#?}", failed.len());
 }
+
+#[test]
+fn workers_return_after_cancellations() {
+    let days = wanted_days(RETURNS);
+    let failed: Vec<String> = days.filter_map(|seed| play_return(seed).err()).collect();
+    assert!(failed.is_empty(), "{} days: {failed:#?}", failed.len());
+}
