--- /dev/null
+++ b/tests/simulated_cluster/fake_workers.rs
@@ -0,0 +1,158 @@
+//! The workers of a simulated cluster: they run tasks and send heartbeats.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use copperfield_simulation::cluster::{LEASE_S, REPORT_S};
+use hyper::Method;
+use rand::Rng;
+use serde_json::Value;
+use tokio::time::{sleep, timeout};
+
+use super::faults::await_the_next_leader;
+use super::network::deliver;
+use super::users::call_off;
+use super::{NODES, SharedCluster, node_name};
+
+/// Workers live and report.
+pub async fn workers(world: SharedCluster) {
+    let step = 0.05;
+    let mut next: BTreeMap<String, f64> = BTreeMap::new();
+    let busy: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    loop {
+        sleep(Duration::from_secs_f64(step)).await;
+        let mut w = world.lock().unwrap();
+        let now = w.now();
+        w.site.now = now;
+        w.state.tick(now, step);
+        let names: Vec<String> = w.site.workers.keys().cloned().collect();
+        for name in &names {
+            let m = &w.site.workers[name];
+            if m.up_at > now || m.dead {
+                continue;
+            }
+            if m.hung {
+                w.site.end_lease(name);
+                continue;
+            }
+            w.site.advance_worker(name, step);
+            let m = &w.site.workers[name];
+            let due = next.entry(name.clone()).or_insert(now);
+            let early = m.changed && now > *due - REPORT_S + 0.3;
+            if (now >= *due || early) && !busy.lock().unwrap().contains(name) {
+                *due = now + REPORT_S;
+                busy.lock().unwrap().insert(name.clone());
+                let name = name.clone();
+                let (world, busy) = (world.clone(), busy.clone());
+                tokio::spawn(async move {
+                    heartbeat(&world, &name).await;
+                    busy.lock().unwrap().remove(&name);
+                });
+            }
+        }
+        w.site.advance_gangs();
+        w.site.check_cancelled();
+        let share = w.cancel_at_end;
+        for id in std::mem::take(&mut w.site.completed) {
+            if share > 0.0 && w.rng.random_bool(share) {
+                tokio::spawn(call_off(world.clone(), id));
+            }
+        }
+    }
+}
+
+/// Workers wait so long for the answer to a report.
+pub(super) const ANSWER_S: f64 = 2.0;
+
+pub async fn heartbeat(world: &SharedCluster, name: &str) {
+    let (node, body, sent, tenure) = {
+        let mut w = world.lock().unwrap();
+        let now = w.now();
+        let number: usize = name[3..].parse().expect("our own names");
+        let first = number % NODES;
+        let node = *w.targets.entry(name.to_string()).or_insert(first);
+        let Some(m) = w.site.workers.get_mut(name) else {
+            return;
+        };
+        (node, m.heartbeat().to_string().into_bytes(), now, m.tenure)
+    };
+    let heartbeat_at = |node, body| {
+        let (world, name) = (world.clone(), name.to_string());
+        let path = "/hello".to_string();
+        deliver(world, name, node_name(node), 8080, Method::POST, path, body)
+    };
+    let heartbeat = |body| heartbeat_at(node, body);
+    if world.lock().unwrap().mute.contains(name) {
+        sleep(Duration::from_secs(1)).await;
+        let mut w = world.lock().unwrap();
+        w.targets.insert(name.into(), (node + 1) % NODES);
+        return;
+    }
+    let kept = {
+        let w = &mut *world.lock().unwrap();
+        w.for_next > 0.0 && w.rng.random_bool(w.for_next)
+    };
+    if kept {
+        let instances: Vec<_> = (0..NODES).map(|n| heartbeat_at(n, body.clone())).collect();
+        let world = world.clone();
+        tokio::spawn(async move {
+            await_the_next_leader(&world).await;
+            for copy in instances {
+                tokio::spawn(copy);
+            }
+        });
+    }
+    let again_s = {
+        let w = &mut *world.lock().unwrap();
+        let again = w.late_reports > 0.0 && w.rng.random_bool(w.late_reports);
+        again.then(|| w.rng.random_range(2.0..LEASE_S * 1.6))
+    };
+    if let Some(again_s) = again_s {
+        let copy = heartbeat(body.clone());
+        tokio::spawn(async move {
+            sleep(Duration::from_secs_f64(again_s)).await;
+            copy.await
+        });
+    }
+    let relayed = tokio::spawn(heartbeat(body));
+    let answer = timeout(Duration::from_secs_f64(ANSWER_S), relayed).await;
+    let mut next = Some((node + 1) % NODES);
+    let deaf = world.lock().unwrap().deaf.contains(name);
+    if let Ok(Ok(Ok(answer))) = answer
+        && !deaf
+    {
+        let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        if answer.status == 200 {
+            next = None;
+            let mut w = world.lock().unwrap();
+            let fits = w
+                .site
+                .workers
+                .get(name)
+                .is_some_and(|m| m.tenure == tenure && !m.hung && !m.dead);
+            if fits && w.site.accept_fencing_token(name, value["fence"].as_u64()) {
+                w.site.answered(name, sent);
+                let by = w.answered_by.entry(name.to_string()).or_default();
+                if by.last() != Some(&node) {
+                    by.push(node);
+                }
+                w.site.check_orders(&value["orders"], ANSWER_S);
+                w.site.execute(name, &value["orders"]);
+                w.site.check_renewed(name);
+            }
+        } else if let Some(leader) = value["controller"].as_str() {
+            next = Some(leader["host-".len()..].parse().unwrap());
+            if next == Some(node) {
+                next = Some((node + 1) % NODES);
+            }
+        }
+    }
+    if let Some(next) = next {
+        world.lock().unwrap().targets.insert(name.into(), next);
+        sleep(Duration::from_millis(300)).await;
+        if let Some(m) = world.lock().unwrap().site.workers.get_mut(name) {
+            m.changed = true;
+        }
+    }
+}
--- /dev/null
+++ b/tests/simulated_cluster/network.rs
@@ -0,0 +1,337 @@
+//! The network between the places of a simulated cluster: cuts, losses, and messages that are held up.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use copperfield::transport::client::{Answer, CallError, Exchange, Network, within};
+use copperfield::transport::server::Incoming;
+use hyper::Method;
+use rand::Rng;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use super::{OPERATOR_KEY, QUICKLY, SharedCluster, node_name, restart};
+
+pub fn place(to: SocketAddr) -> String {
+    match (to.ip().to_string().as_str(), to.port()) {
+        ("10.2.0.1", _) => "state".into(),
+        ("10.2.0.2", _) => "cloud".into(),
+        (ip, 9000) => {
+            let number: u64 = ip
+                .rsplit('.')
+                .next()
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
+            format!("vm-{number:06}")
+        }
+        (ip, _) => {
+            let number: usize = ip
+                .rsplit('.')
+                .next()
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(1);
+            node_name(number - 1)
+        }
+    }
+}
+
+pub struct Net {
+    pub(super) world: SharedCluster,
+    pub(super) me: String,
+    pub(super) alive: Arc<AtomicBool>,
+}
+
+impl Network for Net {
+    /// Each node's clock is off by its own part of what the settings allow.
+    fn unix_ms(&self) -> u64 {
+        let off = [0, 50, 25][self.me.as_bytes()[5] as usize % 3];
+        let passed = self.world.lock().unwrap().start.elapsed().as_millis() as u64;
+        1_700_000_000_000 + passed + off
+    }
+
+    fn call(
+        &self,
+        method: Method,
+        to: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        deadline: Duration,
+    ) -> Exchange<'_> {
+        let path = path.to_string();
+        Box::pin(async move {
+            if !self.alive.load(Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
+            let target = place(to);
+            // Decided, but not sent: here control is lost between the two.
+            thaw(&self.world, &self.me).await;
+            let trips = target == "state" && !path.starts_with("/watch") && {
+                let mut w = self.world.lock().unwrap();
+                w.trip = w.trip.map(|(left, late)| (left.wrapping_sub(1), late));
+                w.trip.is_some_and(|(left, _)| left == u32::MAX)
+            };
+            let sent = deliver(
+                self.world.clone(),
+                self.me.clone(),
+                target.clone(),
+                to.port(),
+                method,
+                path,
+                body,
+            );
+            if trips {
+                let (_, late) = self.world.lock().unwrap().trip.take().expect("looked at");
+                if late {
+                    let _ = sent.await;
+                }
+                restart(
+                    &self.world,
+                    self.me["host-".len()..].parse().unwrap(),
+                    QUICKLY,
+                );
+                std::future::pending::<()>().await;
+                unreachable!("the process has ended");
+            }
+            let dropped = to.port() == 8081 && {
+                let mut w = self.world.lock().unwrap();
+                w.drop = w.drop.map(|(left, answer)| (left.wrapping_sub(1), answer));
+                w.drop.is_some_and(|(left, _)| left == u32::MAX)
+            };
+            if dropped {
+                let (_, answer) = self.world.lock().unwrap().drop.take().expect("looked at");
+                if answer {
+                    tokio::spawn(sent);
+                }
+                sleep(deadline).await;
+                return Err(CallError::Unknown("lost".into()));
+            }
+            let (cut, pooled) = {
+                let mut w = self.world.lock().unwrap();
+                (w.blocked(&self.me, &target), w.rng.random_bool(0.5))
+            };
+            if cut && !pooled {
+                sleep(deadline.min(Duration::from_millis(800))).await;
+                return Err(CallError::Unsent);
+            }
+            // Detached: what was sent arrives, be it minutes after the sender gave up.
+            let relayed = tokio::spawn(sent);
+            let result = within(deadline, async {
+                let lost = |_| Err(CallError::Unknown("lost".into()));
+                let result = relayed.await.unwrap_or_else(lost);
+                thaw(&self.world, &self.me).await;
+                result
+            });
+            let result = result.await;
+            thaw(&self.world, &self.me).await;
+            if !self.alive.load(Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
+            result
+        })
+    }
+}
+
+pub async fn thaw(world: &SharedCluster, node: &str) {
+    while world.lock().unwrap().frozen.contains(node) {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn pass(world: &SharedCluster, from: &str, to: &str) {
+    let delay = world.lock().unwrap().delay();
+    sleep(delay).await;
+    while world.lock().unwrap().blocked(from, to) {
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// How long a late direct message, or its answer, is held up.
+pub(super) const LATE_COMMAND_S: std::ops::Range<f64> = 2.0..16.0;
+
+/// Where transactions are late: this one, if it is to be, waits here while its sender has given
+/// up, and is carried out when the service serves again.
+pub(super) async fn hold_back(world: &SharedCluster, from: &str) {
+    let wait_s = {
+        let w = &mut *world.lock().unwrap();
+        let late = w.late_writes > 0.0 && w.serves(from) && w.rng.random_bool(w.late_writes);
+        late.then(|| w.rng.random_range(2.0..12.0))
+    };
+    if let Some(wait_s) = wait_s {
+        sleep(Duration::from_secs_f64(wait_s)).await;
+        while !world.lock().unwrap().serves(from) {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Where direct messages are late: how long this one is held up before its worker carries it out,
+/// and how long its answer is afterwards.
+pub(super) fn command_delays(world: &SharedCluster) -> (Duration, Duration) {
+    let w = &mut *world.lock().unwrap();
+    if w.late_commands == 0.0 || !w.rng.random_bool(w.late_commands) {
+        return (Duration::ZERO, Duration::ZERO);
+    }
+    let wait = Duration::from_secs_f64(w.rng.random_range(LATE_COMMAND_S));
+    if w.rng.random() {
+        (wait, Duration::ZERO)
+    } else {
+        (Duration::ZERO, wait)
+    }
+}
+
+/// A direct message reaches its worker, once that hears anything. Status and heartbeat of its answer.
+pub(super) async fn execute_at_worker(
+    world: &SharedCluster,
+    to: &str,
+    path: &str,
+    body: &[u8],
+) -> (u16, Value) {
+    loop {
+        let ready = {
+            let w = world.lock().unwrap();
+            let m = w.site.workers.get(to);
+            // What a deaf worker is told is lost, as what one that is gone is told.
+            let m = m.filter(|_| !w.deaf.contains(to));
+            m.map(|m| !m.hung && !m.dead && m.up_at <= w.now())
+        };
+        match ready {
+            Some(true) => break,
+            Some(false) => sleep(Duration::from_millis(50)).await,
+            None => std::future::pending().await,
+        }
+    }
+    let mut w = world.lock().unwrap();
+    let site = &mut w.site;
+    let mut status = 200;
+    if path == "/orders" {
+        let orders: Value = serde_json::from_slice(body).unwrap();
+        let same = site.workers[to].tenure == orders["tenure"].as_u64().unwrap();
+        if same && site.accept_fencing_token(to, orders["fence"].as_u64()) {
+            site.execute(to, &orders["orders"]);
+        } else {
+            status = 409;
+        }
+    }
+    (status, site.workers.get_mut(to).unwrap().heartbeat())
+}
+
+/// A pause of no length is none: it would let other tasks go first.
+pub(super) async fn hold_up(pause: Duration) {
+    if !pause.is_zero() {
+        sleep(pause).await;
+    }
+}
+
+pub async fn deliver(
+    world: SharedCluster,
+    from: String,
+    to: String,
+    port: u16,
+    method: Method,
+    path: String,
+    body: Vec<u8>,
+) -> Result<Answer, CallError> {
+    let number = world
+        .lock()
+        .unwrap()
+        .record_message(format_args!("{from} -> {to}:{port} {method} {path}"), &body);
+    pass(&world, &from, &to).await;
+    let multi = path == "/multi";
+    let answer = |(status, value): (u16, Value)| Answer {
+        status,
+        body: value.to_string().into(),
+    };
+    let reply = if to == "state" {
+        if path.starts_with("/watch") {
+            let block: f64 = path
+                .split_once("block_ms=")
+                .and_then(|(_, b)| b.parse().ok())
+                .unwrap_or(0.0);
+            let until = Instant::now() + Duration::from_millis(block as u64);
+            loop {
+                {
+                    let w = world.lock().unwrap();
+                    let serves = w.serves(&from);
+                    if let Some(changes) = w.state.changes(&path).filter(|_| serves) {
+                        break answer(changes);
+                    }
+                    if Instant::now() >= until && serves {
+                        break answer(w.state.watch_timeout());
+                    }
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        } else {
+            if multi {
+                hold_back(&world, &from).await;
+            }
+            let mut w = world.lock().unwrap();
+            let now = w.now();
+            if w.serves(&from) {
+                answer(w.state.handle(now, method.as_str(), &path, &body))
+            } else {
+                answer((503, json!({"error": "trouble"})))
+            }
+        }
+    } else if to == "cloud" {
+        answer(
+            world
+                .lock()
+                .unwrap()
+                .site
+                .handle_cloud_request(method.as_str(), &path, &body),
+        )
+    } else if to.starts_with("vm-") {
+        let (before, after) = command_delays(&world);
+        hold_up(before).await;
+        let (status, heartbeat) = execute_at_worker(&world, &to, &path, &body).await;
+        hold_up(after).await;
+        answer((status, heartbeat))
+    } else {
+        let number: usize = to["host-".len()..].parse().unwrap();
+        let service = world.lock().unwrap().services[number].clone();
+        let Some(service) = service else {
+            return Err(CallError::Unsent);
+        };
+        let alive = world.lock().unwrap().alive[number].clone();
+        thaw(&world, &to).await;
+        let authorized = path.starts_with("/operator/");
+        let authorization = authorized.then(|| format!("Bearer {OPERATOR_KEY}"));
+        let request = Incoming {
+            method,
+            path,
+            query: None,
+            authorization,
+            body: body.into(),
+        };
+        let out = if port == 8081 {
+            service.peer(request).await
+        } else {
+            service.public(request).await
+        };
+        thaw(&world, &to).await;
+        if !alive.load(Ordering::Relaxed) {
+            return Err(CallError::Unknown("reset".into()));
+        }
+        Answer {
+            status: out.status,
+            body: out.body.into(),
+        }
+    };
+    world
+        .lock()
+        .unwrap()
+        .record(format_args!("#{number} = {}", reply.status), &reply.body);
+    pass(&world, &to, &from).await;
+    let lost = {
+        let mut w = world.lock().unwrap();
+        let (loss, answers_lost) = (w.loss, w.answers_lost);
+        (multi && answers_lost > 0.0 && w.rng.random_bool(answers_lost)) || w.rng.random_bool(loss)
+    };
+    if lost {
+        std::future::pending::<()>().await;
+    }
+    Ok(reply)
+}
