Review case 3: another value size in the settings marks tasks as done

Cause: a test was wanted for a change of configuration while a job runs. Change: the case, under review/.

--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -147,6 +147,17 @@
         PROCESSES.lock().unwrap()[i] = Some(child);
     }
 
+    /// Changes the limits of the state service in the settings of a controller, for its next start.
+    pub fn set_state_limits(&self, i: usize, limits: Limits) {
+        let path = &self.controllers[i].settings;
+        let text = std::fs::read_to_string(path).expect("the settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+        settings["cluster"]["state"] = json!({"rps": limits.rps, "write_rps": limits.write_rps,
+            "value_kb": limits.value_kb, "txn_ops": limits.txn_ops});
+        std::fs::write(path, settings.to_string()).expect("the settings can be written");
+        self.record.line(&format!("settings of {}: state {limits:?}", self.controllers[i].name));
+    }
+
     /// Kills a controller.
     pub fn kill_controller(&mut self, i: usize) {
         let process = PROCESSES.lock().unwrap()[i].take();
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,6 +3,7 @@
 //! and 2 if the case could not run.
 
 mod deployment;
+mod limits_in_settings;
 mod http;
 mod last_machine_taken;
 mod limits_lowered;
@@ -34,6 +35,7 @@
     record.line(&format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "last-machine-taken" => last_machine_taken::run(&root, &record, trouble),
+        "limits-in-settings" => limits_in_settings::run(&root, &record, trouble),
         "limits-lowered" => limits_lowered::run(&root, &record, trouble),
         _ => Outcome::NotRun(format!("unknown case {case}")),
     };
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -81,6 +81,8 @@
     rentals: HashMap<String, Vec<String>>,
     /// Uploaded job descriptions, with the true run time of each task.
     jobs: HashMap<String, (Value, f64)>,
+    /// Tasks that run longer than the others of their jobs.
+    long_tasks: HashMap<String, f64>,
     history: BTreeMap<String, TaskHistory>,
     /// Jobs that users were told are cancelled, and when.
     cancelled: HashMap<String, f64>,
@@ -113,6 +115,7 @@
                 machines: BTreeMap::new(),
                 rentals: HashMap::new(),
                 jobs: HashMap::new(),
+                long_tasks: HashMap::new(),
                 history: BTreeMap::new(),
                 cancelled: HashMap::new(),
                 violations: Vec::new(),
@@ -152,6 +155,21 @@
         self.inner.lock().unwrap().jobs.insert(uid, (body.clone(), runtime_s));
     }
 
+    /// Makes a task run longer than the others of its job.
+    pub fn set_run_time(&self, shard: String, runtime_s: f64) {
+        self.inner.lock().unwrap().long_tasks.insert(shard, runtime_s);
+    }
+
+    /// How many tasks of a job have completed, and the tasks that have not.
+    pub fn progress(&self, uid: &str, shards: u32) -> (u32, Vec<u32>) {
+        let inner = self.inner.lock().unwrap();
+        let is_done = |task: &u32| {
+            inner.history.get(&format!("{uid}/{task}")).is_some_and(|h| h.done_at.is_some())
+        };
+        let open: Vec<u32> = (0..shards).filter(|task| !is_done(task)).collect();
+        (shards - open.len() as u32, open)
+    }
+
     /// Records that a user was told that a job is cancelled.
     pub fn told_cancelled(&self, uid: &str) {
         let now = self.record.now();
@@ -367,8 +385,10 @@
                         task.phase = "running";
                         history.starts += 1;
                         let service = body["shape"] == "service";
-                        task.done_at = (!service).then(|| now + Duration::from_secs_f64(*runtime_s));
-                        self.record.line(&format!("{name}: {} try {} runs", task.shard, task.attempt));
+                        task.done_at = (!service).then(|| now + Duration::from_secs_f64(inner.long_tasks.get(&task.shard).copied().unwrap_or(*runtime_s)));
+                        if body["shards"].as_u64() < Some(1000) || inner.long_tasks.contains_key(&task.shard) {
+                            self.record.line(&format!("{name}: {} try {} runs", task.shard, task.attempt));
+                        }
                         if let Some(at) = inner.cancelled.get(uid) {
                             let after = self.record.now() - at;
                             inner.violations.push(format!("{} started {after:.1} s after its user was told it is cancelled", task.shard));
@@ -381,7 +401,10 @@
                     machine.changed = true;
                     let history = inner.history.entry(task.shard.clone()).or_default();
                     history.done_at = Some(self.record.now());
-                    self.record.line(&format!("{name}: {} try {} done", task.shard, task.attempt));
+                    let (uid, _) = task.shard.split_once('/').expect("a task id");
+                    if inner.jobs[uid].0["shards"].as_u64() < Some(1000) || inner.long_tasks.contains_key(&task.shard) {
+                        self.record.line(&format!("{name}: {} try {} done", task.shard, task.attempt));
+                    }
                 }
             }
         }
