--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -10,6 +10,7 @@
 mod record;
 mod site;
 mod state;
+mod zone_machine_taken;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -36,6 +37,7 @@
     let outcome = match case.as_str() {
         "last-machine-taken" => last_machine_taken::run(&root, &record, trouble),
         "limits-in-settings" => limits_in_settings::run(&root, &record, trouble),
+        "zone-machine-taken" => zone_machine_taken::run(&root, &record, trouble),
         "limits-lowered" => limits_lowered::run(&root, &record, trouble),
         _ => Outcome::NotRun(format!("unknown case {case}")),
     };
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -439,6 +439,11 @@
 
     /// Answers a direct message.
     fn direct(&self, name: &str, path: &str, body: &[u8]) -> http::Answer {
+        if !self.inner.lock().unwrap().machines.contains_key(name) {
+            // A machine that is gone is silent.
+            thread::sleep(Duration::from_secs(30));
+            return None;
+        }
         let mut inner = self.inner.lock().unwrap();
         let machine = inner.machines.get_mut(name)?;
         let mut status = 200;
