--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -14,10 +14,24 @@
 use crate::state::{Limits, StateService};
 
 pub const ZONES: [&str; 3] = ["havenhal", "kelder", "zolder"];
-pub const LIMITS: Limits = Limits { rps: 200.0, write_rps: 50.0, value_kb: 8.0, txn_ops: 12 };
+pub const LIMITS: Limits = Limits {
+    rps: 200.0,
+    write_rps: 50.0,
+    value_kb: 8.0,
+    txn_ops: 12,
+};
 /// The limits that `state_limits` sets in the site file of the render farm.
-pub const NEXT_LIMITS: Limits = Limits { rps: 200.0, write_rps: 35.0, value_kb: 2.0, txn_ops: 4 };
-const TIMES: Times = Times { report_s: 2.5, lease_s: 12.0, list_lag_s: 5.0 };
+pub const NEXT_LIMITS: Limits = Limits {
+    rps: 200.0,
+    write_rps: 35.0,
+    value_kb: 2.0,
+    txn_ops: 4,
+};
+const TIMES: Times = Times {
+    report_s: 2.5,
+    lease_s: 12.0,
+    list_lag_s: 5.0,
+};
 
 /// The controllers' processes, by index. A watchdog ends them if a case takes too long.
 static PROCESSES: Mutex<[Option<Child>; 3]> = Mutex::new([None, None, None]);
@@ -115,10 +129,20 @@
                     "clock_error_ms": 25.0}});
             let path = folder.join(format!("{}.json", names[i]));
             std::fs::write(&path, settings.to_string()).expect("the settings can be written");
-            controllers.push(Controller { name: names[i].clone(), public: public[i], settings: path });
+            controllers.push(Controller {
+                name: names[i].clone(),
+                public: public[i],
+                settings: path,
+            });
         }
-        let mut deployment =
-            Self { state, site, record, controllers, folder, next_node: 0 };
+        let mut deployment = Self {
+            state,
+            site,
+            record,
+            controllers,
+            folder,
+            next_node: 0,
+        };
         for i in 0..3 {
             deployment.start_controller(root, i);
         }
@@ -155,7 +179,10 @@
         settings["cluster"]["state"] = json!({"rps": limits.rps, "write_rps": limits.write_rps,
             "value_kb": limits.value_kb, "txn_ops": limits.txn_ops});
         std::fs::write(path, settings.to_string()).expect("the settings can be written");
-        self.record.line(&format!("settings of {}: state {limits:?}", self.controllers[i].name));
+        self.record.line(&format!(
+            "settings of {}: state {limits:?}",
+            self.controllers[i].name
+        ));
     }
 
     /// Kills a controller.
@@ -164,7 +191,8 @@
         if let Some(mut process) = process {
             let _ = process.kill();
             let _ = process.wait();
-            self.record.line(&format!("{} killed", self.controllers[i].name));
+            self.record
+                .line(&format!("{} killed", self.controllers[i].name));
         }
     }
 
@@ -174,20 +202,62 @@
         self.controllers.iter().position(|c| c.name == name)
     }
 
+    /// The process ID of a controller, if it runs.
+    pub fn pid(&self, i: usize) -> Option<u32> {
+        PROCESSES.lock().unwrap()[i].as_ref().map(Child::id)
+    }
+
+    /// Whether a controller's process has ended by itself.
+    pub fn ended(&mut self, i: usize) -> bool {
+        PROCESSES.lock().unwrap()[i]
+            .as_mut()
+            .is_some_and(|p| matches!(p.try_wait(), Ok(Some(_))))
+    }
+
     /// Sends a request of a user to one controller.
-    pub fn ask(&self, i: usize, method: &str, path: &str, body: &Value, wait_s: f64) -> Option<(u16, Value)> {
-        let text = if body.is_null() { String::new() } else { body.to_string() };
-        let answer = http::call(method, self.controllers[i].public, path, &text, Duration::from_secs_f64(wait_s));
-        let answer = answer.map(|(status, text)| (status, serde_json::from_str(&text).unwrap_or(Value::Null)));
+    pub fn ask(
+        &self,
+        i: usize,
+        method: &str,
+        path: &str,
+        body: &Value,
+        wait_s: f64,
+    ) -> Option<(u16, Value)> {
+        let text = if body.is_null() {
+            String::new()
+        } else {
+            body.to_string()
+        };
+        let answer = http::call(
+            method,
+            self.controllers[i].public,
+            path,
+            &text,
+            Duration::from_secs_f64(wait_s),
+        );
+        let answer = answer
+            .map(|(status, text)| (status, serde_json::from_str(&text).unwrap_or(Value::Null)));
         self.record.line(&match &answer {
-            Some((status, value)) => format!("user: {method} {path} at {} -> {status} {value}", self.controllers[i].name),
-            None => format!("user: {method} {path} at {} -> no answer", self.controllers[i].name),
+            Some((status, value)) => format!(
+                "user: {method} {path} at {} -> {status} {value}",
+                self.controllers[i].name
+            ),
+            None => format!(
+                "user: {method} {path} at {} -> no answer",
+                self.controllers[i].name
+            ),
         });
         answer
     }
 
     /// Sends a request of a user to the next controller, as through the load balancer.
-    pub fn request(&mut self, method: &str, path: &str, body: &Value, wait_s: f64) -> Option<(u16, Value)> {
+    pub fn request(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &Value,
+        wait_s: f64,
+    ) -> Option<(u16, Value)> {
         self.next_node = (self.next_node + 1) % 3;
         self.ask(self.next_node, method, path, body, wait_s)
     }
@@ -209,8 +279,14 @@
         let end = self.record.now() + for_s;
         while self.record.now() < end {
             let healthy = (0..3).all(|i| {
-                http::call("GET", self.controllers[i].public, "/healthz", "", Duration::from_secs(1))
-                    .is_some_and(|(status, _)| status == 200)
+                http::call(
+                    "GET",
+                    self.controllers[i].public,
+                    "/healthz",
+                    "",
+                    Duration::from_secs(1),
+                )
+                .is_some_and(|(status, _)| status == 200)
             });
             if healthy && self.leader().is_some() {
                 return true;
@@ -228,7 +304,8 @@
         for controller in &self.controllers {
             let log = std::fs::read_to_string(self.folder.join(format!("{}.log", controller.name)));
             for line in log.unwrap_or_default().lines().take(60) {
-                self.record.line(&format!("log of {}: {line}", controller.name));
+                self.record
+                    .line(&format!("log of {}: {line}", controller.name));
             }
         }
         let _ = std::fs::remove_dir_all(&self.folder);
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -138,7 +138,9 @@
             }
         }
         let left = end.checked_duration_since(Instant::now())?;
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+        stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            .ok()?;
         if read_some(&mut stream, &mut buffer).ok()? == 0 {
             return None;
         }
--- a/review/standin/src/last_machine_taken.rs
+++ b/review/standin/src/last_machine_taken.rs
@@ -33,7 +33,9 @@
         return Outcome::NotRun("the job was not accepted".into());
     }
     let starts = |site: &Deployment| {
-        (0..2).map(|task| site.site.history(&format!("{JOB}/{task}")).starts).collect::<Vec<_>>()
+        (0..2)
+            .map(|task| site.site.history(&format!("{JOB}/{task}")).starts)
+            .collect::<Vec<_>>()
     };
     let end = site.record.now() + 12.0;
     while site.record.now() < end && starts(site).contains(&0) {
@@ -58,7 +60,10 @@
             leaders.push(leader);
             site.record.line(&format!("host-{leader} leads"));
         }
-        let restarted = starts(site).iter().zip(&before).any(|(now, then)| now > then);
+        let restarted = starts(site)
+            .iter()
+            .zip(&before)
+            .any(|(now, then)| now > then);
         if restarted || is_done(site) {
             return Outcome::Held;
         }
--- a/review/standin/src/limits_in_settings.rs
+++ b/review/standin/src/limits_in_settings.rs
@@ -39,7 +39,8 @@
         "pull_gb": 0.5, "flavors": null, "region": null, "one_zone": false, "spread": false, "preemptibles": true,
         "runtime_s": RUNTIME_S, "snapshot_every_s": 0.0, "snapshot_s": 0.0, "due_s": null});
     for task in LONG_TASKS {
-        site.site.set_run_time(format!("{JOB}/{task}"), LONG_RUNTIME_S);
+        site.site
+            .set_run_time(format!("{JOB}/{task}"), LONG_RUNTIME_S);
     }
     if !site.submit(&job, RUNTIME_S) {
         return Outcome::NotRun("the job was not accepted".into());
@@ -52,14 +53,18 @@
             break;
         }
         if site.record.now() > 65.0 {
-            return Outcome::NotRun(format!("only {done} of {SHARDS} tasks were done after 65 s"));
+            return Outcome::NotRun(format!(
+                "only {done} of {SHARDS} tasks were done after 65 s"
+            ));
         }
         if let Some(broken) = judge(site) {
             return broken;
         }
         sleep(Duration::from_millis(1000));
     }
-    site.record.line(&format!("{others} of {SHARDS} tasks have completed, the others run"));
+    site.record.line(&format!(
+        "{others} of {SHARDS} tasks have completed, the others run"
+    ));
     // Their progress is stored within some seconds.
     sleep(Duration::from_secs(4));
     if trouble {
--- a/review/standin/src/limits_lowered.rs
+++ b/review/standin/src/limits_lowered.rs
@@ -38,7 +38,9 @@
     }
     if trouble {
         site.state.set_limits(NEXT_LIMITS);
-        site.record.line(&format!("the state service lowers its limits: {NEXT_LIMITS:?}"));
+        site.record.line(&format!(
+            "the state service lowers its limits: {NEXT_LIMITS:?}"
+        ));
     }
     let jobs = 2..2 + JOBS;
     for number in jobs.clone() {
@@ -48,23 +50,43 @@
     }
     // All tasks complete.
     let end = site.record.now() + 45.0;
-    while site.record.now() < end && !jobs.clone().all(|n| site.site.job_done_at(&uid(n)).is_some()) {
+    while site.record.now() < end
+        && !jobs
+            .clone()
+            .all(|n| site.site.job_done_at(&uid(n)).is_some())
+    {
         sleep(Duration::from_millis(200));
     }
-    let completed: Vec<u32> = jobs.filter(|&n| site.site.job_done_at(&uid(n)).is_some()).collect();
+    let completed: Vec<u32> = jobs
+        .filter(|&n| site.site.job_done_at(&uid(n)).is_some())
+        .collect();
     if completed.is_empty() {
         return Outcome::NotRun("no job's tasks completed within 45 s".into());
     }
-    site.record.line(&format!("all tasks of {} of {JOBS} jobs have completed", completed.len()));
-    let last = completed.iter().filter_map(|&n| site.site.job_done_at(&uid(n))).fold(0.0, f64::max);
+    site.record.line(&format!(
+        "all tasks of {} of {JOBS} jobs have completed",
+        completed.len()
+    ));
+    let last = completed
+        .iter()
+        .filter_map(|&n| site.site.job_done_at(&uid(n)))
+        .fold(0.0, f64::max);
     while site.record.now() < last + WAIT_S {
-        let open: Vec<u32> = completed.iter().copied().filter(|&n| !is_done(site, n)).collect();
+        let open: Vec<u32> = completed
+            .iter()
+            .copied()
+            .filter(|&n| !is_done(site, n))
+            .collect();
         if open.is_empty() {
             return Outcome::Held;
         }
         sleep(Duration::from_secs(4));
     }
-    let open: Vec<String> = completed.iter().filter(|&&n| !is_done(site, n)).map(|&n| uid(n)).collect();
+    let open: Vec<String> = completed
+        .iter()
+        .filter(|&&n| !is_done(site, n))
+        .map(|&n| uid(n))
+        .collect();
     if open.is_empty() {
         return Outcome::Held;
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,12 +2,14 @@
 //! environment for a run without the disruption. Exits with 1 if the rule was broken, 0 if it held,
 //! and 2 if the case could not run.
 
+mod chaos;
 mod deployment;
-mod limits_in_settings;
 mod http;
 mod last_machine_taken;
+mod limits_in_settings;
 mod limits_lowered;
 mod record;
+mod sick_machines;
 mod site;
 mod state;
 mod zone_machine_taken;
@@ -38,6 +40,8 @@
         "last-machine-taken" => last_machine_taken::run(&root, &record, trouble),
         "limits-in-settings" => limits_in_settings::run(&root, &record, trouble),
         "zone-machine-taken" => zone_machine_taken::run(&root, &record, trouble),
+        "sick-machines" => sick_machines::run(&root, &record, trouble),
+        "chaos" => chaos::run(&root, &record, trouble),
         "limits-lowered" => limits_lowered::run(&root, &record, trouble),
         _ => Outcome::NotRun(format!("unknown case {case}")),
     };
--- a/review/standin/src/record.rs
+++ b/review/standin/src/record.rs
@@ -14,7 +14,10 @@
 impl Record {
     pub fn create(path: &std::path::Path) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
+        Self {
+            start: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        }
     }
 
     /// Seconds since the start of the case.
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -152,19 +152,30 @@
     /// Uploads a job's description. `runtime_s` is the true run time of each task.
     pub fn upload(&self, body: &Value, runtime_s: f64) {
         let uid = body["uid"].as_str().expect("a job has an id").to_string();
-        self.inner.lock().unwrap().jobs.insert(uid, (body.clone(), runtime_s));
+        self.inner
+            .lock()
+            .unwrap()
+            .jobs
+            .insert(uid, (body.clone(), runtime_s));
     }
 
     /// Makes a task run longer than the others of its job.
     pub fn set_run_time(&self, shard: String, runtime_s: f64) {
-        self.inner.lock().unwrap().long_tasks.insert(shard, runtime_s);
+        self.inner
+            .lock()
+            .unwrap()
+            .long_tasks
+            .insert(shard, runtime_s);
     }
 
     /// How many tasks of a job have completed, and the tasks that have not.
     pub fn progress(&self, uid: &str, shards: u32) -> (u32, Vec<u32>) {
         let inner = self.inner.lock().unwrap();
         let is_done = |task: &u32| {
-            inner.history.get(&format!("{uid}/{task}")).is_some_and(|h| h.done_at.is_some())
+            inner
+                .history
+                .get(&format!("{uid}/{task}"))
+                .is_some_and(|h| h.done_at.is_some())
         };
         let open: Vec<u32> = (0..shards).filter(|task| !is_done(task)).collect();
         (shards - open.len() as u32, open)
@@ -173,12 +184,23 @@
     /// Records that a user was told that a job is cancelled.
     pub fn told_cancelled(&self, uid: &str) {
         let now = self.record.now();
-        self.inner.lock().unwrap().cancelled.entry(uid.to_string()).or_insert(now);
+        self.inner
+            .lock()
+            .unwrap()
+            .cancelled
+            .entry(uid.to_string())
+            .or_insert(now);
     }
 
     /// The machines' history of one task.
     pub fn history(&self, shard: &str) -> TaskHistory {
-        self.inner.lock().unwrap().history.get(shard).cloned().unwrap_or_default()
+        self.inner
+            .lock()
+            .unwrap()
+            .history
+            .get(shard)
+            .cloned()
+            .unwrap_or_default()
     }
 
     /// When the last task of a job completed, if all have.
@@ -192,6 +214,26 @@
         Some(last)
     }
 
+    /// Tasks on machines for longer than `cancel_s` after their users were told of the cancellation.
+    pub fn cancelled_still_running(&self, cancel_s: f64) -> Vec<String> {
+        let now = self.record.now();
+        let inner = self.inner.lock().unwrap();
+        let mut found = Vec::new();
+        for (name, machine) in &inner.machines {
+            for task in machine.tasks.iter().filter(|t| t.phase == "running") {
+                let uid = task.shard.split_once('/').map_or("", |(uid, _)| uid);
+                if inner
+                    .cancelled
+                    .get(uid)
+                    .is_some_and(|at| now - at > cancel_s)
+                {
+                    found.push(format!("ran_cancelled: {} on {name}", task.shard));
+                }
+            }
+        }
+        found
+    }
+
     /// Broken rules that the machines saw.
     pub fn violations(&self) -> Vec<String> {
         self.inner.lock().unwrap().violations.clone()
@@ -204,7 +246,12 @@
             .machines
             .iter()
             .filter(|(_, machine)| machine.booted)
-            .map(|(name, machine)| (name.clone(), machine.flavor.cpus - used(machine, &inner.jobs).0))
+            .map(|(name, machine)| {
+                (
+                    name.clone(),
+                    machine.flavor.cpus - used(machine, &inner.jobs).0,
+                )
+            })
             .collect()
     }
 
@@ -227,11 +274,22 @@
 
     /// The names of the machines that are rented.
     pub fn machines(&self) -> Vec<String> {
-        self.inner.lock().unwrap().machines.keys().cloned().collect()
+        self.inner
+            .lock()
+            .unwrap()
+            .machines
+            .keys()
+            .cloned()
+            .collect()
     }
 
     fn rent(&self, flavor: &str, region: &'static str, spot: bool, boot_s: f64) -> String {
-        let flavor = self.flavors.iter().find(|f| f.name == flavor).expect("known").clone();
+        let flavor = self
+            .flavors
+            .iter()
+            .find(|f| f.name == flavor)
+            .expect("known")
+            .clone();
         let mut inner = self.inner.lock().unwrap();
         inner.next_machine += 1;
         let name = format!("vm-{:06}", inner.next_machine);
@@ -325,15 +383,22 @@
         };
         // The deployment may have up to about 40 machines.
         let present = self.inner.lock().unwrap().machines.len();
-        let number = (request["number"].as_u64().unwrap_or(0) as usize).min(40usize.saturating_sub(present));
+        let number =
+            (request["number"].as_u64().unwrap_or(0) as usize).min(40usize.saturating_sub(present));
         if number == 0 {
             return (503, json!({"error": "no capacity"}));
         }
         let spot = request["preemptibles"].as_bool().unwrap_or(false);
-        let hosts: Vec<String> =
-            (0..number).map(|_| self.rent(flavor.name, region, spot, flavor.ready_s)).collect();
-        self.record.line(&format!("cloud: {name} rents {hosts:?} {wanted} {region}"));
-        self.inner.lock().unwrap().rentals.insert(name, hosts.clone());
+        let hosts: Vec<String> = (0..number)
+            .map(|_| self.rent(flavor.name, region, spot, flavor.ready_s))
+            .collect();
+        self.record
+            .line(&format!("cloud: {name} rents {hosts:?} {wanted} {region}"));
+        self.inner
+            .lock()
+            .unwrap()
+            .rentals
+            .insert(name, hosts.clone());
         (200, json!({"hosts": hosts}))
     }
 
@@ -344,6 +409,17 @@
         let mut inner = self.inner.lock().unwrap();
         let inner = &mut *inner;
         let lease = Duration::from_secs_f64(self.times.lease_s);
+        let running: Vec<(String, String)> = inner
+            .machines
+            .iter()
+            .flat_map(|(name, m)| {
+                m.tasks
+                    .iter()
+                    .filter(|t| t.phase == "running")
+                    .map(move |t| (t.shard.clone(), name.clone()))
+            })
+            .collect();
+        let mut on: HashMap<String, String> = running.into_iter().collect();
         for (name, machine) in &mut inner.machines {
             if !machine.booted {
                 if machine.up_at <= now {
@@ -355,7 +431,10 @@
             }
             if now.duration_since(machine.answered) > lease {
                 if !machine.tasks.is_empty() {
-                    self.record.line(&format!("{name}: lease expired, {} tasks dropped", machine.tasks.len()));
+                    self.record.line(&format!(
+                        "{name}: lease expired, {} tasks dropped",
+                        machine.tasks.len()
+                    ));
                 }
                 machine.tasks.clear();
                 machine.tenure += 1;
@@ -377,21 +456,46 @@
                     if sick {
                         task.phase = "ended";
                         task.exit_reason = Some("error");
-                        self.record.line(&format!("{name}: {} try {} fails", task.shard, task.attempt));
+                        self.record.line(&format!(
+                            "{name}: {} try {} fails",
+                            task.shard, task.attempt
+                        ));
                     } else if history.done_at.is_some() {
                         task.phase = "ended";
                         task.exit_reason = Some("done");
                     } else {
                         task.phase = "running";
                         history.starts += 1;
+                        if let Some(other) = on.insert(task.shard.clone(), name.clone())
+                            && other != *name
+                        {
+                            inner.violations.push(format!(
+                                "ran_twice: {} starts on {name} while on {other}",
+                                task.shard
+                            ));
+                        }
                         let service = body["shape"] == "service";
-                        task.done_at = (!service).then(|| now + Duration::from_secs_f64(inner.long_tasks.get(&task.shard).copied().unwrap_or(*runtime_s)));
-                        if body["shards"].as_u64() < Some(1000) || inner.long_tasks.contains_key(&task.shard) {
-                            self.record.line(&format!("{name}: {} try {} runs", task.shard, task.attempt));
+                        task.done_at = (!service).then(|| {
+                            now + Duration::from_secs_f64(
+                                inner
+                                    .long_tasks
+                                    .get(&task.shard)
+                                    .copied()
+                                    .unwrap_or(*runtime_s),
+                            )
+                        });
+                        if body["shards"].as_u64() < Some(1000)
+                            || inner.long_tasks.contains_key(&task.shard)
+                        {
+                            self.record
+                                .line(&format!("{name}: {} try {} runs", task.shard, task.attempt));
                         }
                         if let Some(at) = inner.cancelled.get(uid) {
                             let after = self.record.now() - at;
-                            inner.violations.push(format!("{} started {after:.1} s after its user was told it is cancelled", task.shard));
+                            inner.violations.push(format!(
+                                "{} started {after:.1} s after its user was told it is cancelled",
+                                task.shard
+                            ));
                         }
                     }
                 }
@@ -402,8 +506,11 @@
                     let history = inner.history.entry(task.shard.clone()).or_default();
                     history.done_at = Some(self.record.now());
                     let (uid, _) = task.shard.split_once('/').expect("a task id");
-                    if inner.jobs[uid].0["shards"].as_u64() < Some(1000) || inner.long_tasks.contains_key(&task.shard) {
-                        self.record.line(&format!("{name}: {} try {} done", task.shard, task.attempt));
+                    if inner.jobs[uid].0["shards"].as_u64() < Some(1000)
+                        || inner.long_tasks.contains_key(&task.shard)
+                    {
+                        self.record
+                            .line(&format!("{name}: {} try {} done", task.shard, task.attempt));
                     }
                 }
             }
@@ -412,7 +519,9 @@
             let (listener, address) = http::listen();
             inner.machines.get_mut(&name).expect("booted").address = Some(address);
             let (served, of) = (self.clone(), name.clone());
-            http::serve(listener, move |_, path, body| served.direct(&of, path, body));
+            http::serve(listener, move |_, path, body| {
+                served.direct(&of, path, body)
+            });
             let reporter = self.clone();
             thread::spawn(move || reporter.report_loop(&name));
         }
@@ -425,16 +534,19 @@
             .tasks
             .iter()
             .map(|task| {
-                let mut value = json!({"shard": task.shard, "try": task.attempt, "phase": task.phase});
+                let mut value =
+                    json!({"shard": task.shard, "try": task.attempt, "phase": task.phase});
                 if let Some(reason) = task.exit_reason {
                     value["exit_reason"] = json!(reason);
                 }
                 value
             })
             .collect();
-        Some(json!({"host": name, "address": machine.address.map(|a| a.to_string()), "flavor": machine.flavor.name,
+        Some(
+            json!({"host": name, "address": machine.address.map(|a| a.to_string()), "flavor": machine.flavor.name,
             "region": machine.region, "preemptibles": machine.spot, "tenure": machine.tenure,
-            "counter": machine.counter, "fence": machine.fence, "reclaim_s": null, "shards": shards}))
+            "counter": machine.counter, "fence": machine.fence, "reclaim_s": null, "shards": shards}),
+        )
     }
 
     /// Answers a direct message.
@@ -449,7 +561,9 @@
         let mut status = 200;
         if path == "/orders" {
             let message: Value = serde_json::from_slice(body).unwrap_or_default();
-            let (Some(fence), Some(tenure)) = (message["fence"].as_u64(), message["tenure"].as_u64()) else {
+            let (Some(fence), Some(tenure)) =
+                (message["fence"].as_u64(), message["tenure"].as_u64())
+            else {
                 return Some((400, "{}".into()));
             };
             if fence < machine.fence || tenure != machine.tenure {
@@ -478,13 +592,16 @@
                             task.phase = "ended";
                             task.exit_reason = Some("stopped");
                             machine.changed = true;
-                            self.record.line(&format!("{name}: {shard} try {attempt} stopped"));
+                            self.record
+                                .line(&format!("{name}: {shard} try {attempt} stopped"));
                         }
                     }
                 }
                 Some("clear") => {
                     let machine = inner.machines.get_mut(name).expect("known");
-                    machine.tasks.retain(|t| !(t.shard == shard && t.attempt == attempt && t.ended()));
+                    machine
+                        .tasks
+                        .retain(|t| !(t.shard == shard && t.attempt == attempt && t.ended()));
                     machine.changed = true;
                 }
                 _ => {}
@@ -495,7 +612,11 @@
     fn start_task(&self, inner: &mut Inner, name: &str, shard: String, attempt: u64) {
         let uid = shard.split_once('/').map_or("", |(uid, _)| uid).to_string();
         let machine = &inner.machines[name];
-        if machine.tasks.iter().any(|t| t.shard == shard && t.attempt == attempt) {
+        if machine
+            .tasks
+            .iter()
+            .any(|t| t.shard == shard && t.attempt == attempt)
+        {
             return;
         }
         let mut task = Task {
@@ -520,14 +641,8 @@
                 task.phase = "fetching";
                 let cached = machine.images.iter().any(|i| body["bundle"] == i.as_str());
                 if !cached {
-                    task.image_at += Duration::from_secs_f64(need("pull_gb") / machine.flavor.pull_gb_per_s);
-                }
-                let elsewhere = inner.machines.iter().find(|(other, m)| {
-                    other.as_str() != name
-                        && m.tasks.iter().any(|t| t.shard == shard && t.phase == "running")
-                });
-                if let Some((other, _)) = elsewhere {
-                    inner.violations.push(format!("ran_twice: {shard} starts on {name} while on {other}"));
+                    task.image_at +=
+                        Duration::from_secs_f64(need("pull_gb") / machine.flavor.pull_gb_per_s);
                 }
             }
         } else {
@@ -541,23 +656,35 @@
     /// Sends the reports of one machine until it is gone.
     fn report_loop(&self, name: &str) {
         let mut node = name.bytes().last().unwrap_or(0) as usize % self.nodes.len();
-        let mut seed = name.bytes().fold(7u64, |a, b| a.wrapping_mul(31).wrapping_add(u64::from(b)));
+        let mut seed = name
+            .bytes()
+            .fold(7u64, |a, b| a.wrapping_mul(31).wrapping_add(u64::from(b)));
         loop {
             let sent = Instant::now();
             let (body, tenure) = {
                 let mut inner = self.inner.lock().unwrap();
-                let Some(report) = self.report(&mut inner, name) else { return };
+                let Some(report) = self.report(&mut inner, name) else {
+                    return;
+                };
                 let machine = inner.machines.get_mut(name).expect("reported");
                 machine.changed = false;
                 (report, machine.tenure)
             };
-            let answer = http::call("POST", self.nodes[node].1, "/hello", &body.to_string(), Duration::from_secs(4));
+            let answer = http::call(
+                "POST",
+                self.nodes[node].1,
+                "/hello",
+                &body.to_string(),
+                Duration::from_secs(4),
+            );
             let mut pause = 0.0;
             match answer {
                 Some((200, text)) => {
                     let value: Value = serde_json::from_str(&text).unwrap_or_default();
                     let mut inner = self.inner.lock().unwrap();
-                    let Some(machine) = inner.machines.get_mut(name) else { return };
+                    let Some(machine) = inner.machines.get_mut(name) else {
+                        return;
+                    };
                     if let Some(fence) = value["fence"].as_u64()
                         && fence >= machine.fence
                         && machine.tenure == tenure
@@ -570,7 +697,10 @@
                 }
                 Some((421, text)) => {
                     let value: Value = serde_json::from_str(&text).unwrap_or_default();
-                    let to = self.nodes.iter().position(|(n, _)| value["controller"] == n.as_str());
+                    let to = self
+                        .nodes
+                        .iter()
+                        .position(|(n, _)| value["controller"] == n.as_str());
                     match to {
                         Some(to) if to != node => {
                             node = to;
@@ -587,9 +717,15 @@
                     pause = 1.0;
                 }
             }
-            seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+            seed = seed
+                .wrapping_mul(6364136223846793005)
+                .wrapping_add(1442695040888963407);
             let factor = 0.75 + 0.5 * ((seed >> 33) as f64 / (1u64 << 31) as f64);
-            let next = if pause > 0.0 { pause } else { self.times.report_s * factor };
+            let next = if pause > 0.0 {
+                pause
+            } else {
+                self.times.report_s * factor
+            };
             loop {
                 thread::sleep(Duration::from_millis(25));
                 let waited = sent.elapsed().as_secs_f64();
--- a/review/standin/src/state.rs
+++ b/review/standin/src/state.rs
@@ -77,7 +77,10 @@
 impl StateService {
     pub fn start(limits: Limits, record: Record) -> Self {
         let (listener, address) = http::listen();
-        let bucket = |rate| Bucket { tokens: rate, at: Instant::now() };
+        let bucket = |rate| Bucket {
+            tokens: rate,
+            at: Instant::now(),
+        };
         let inner = Inner {
             keys: BTreeMap::new(),
             leases: BTreeMap::new(),
@@ -91,9 +94,15 @@
             outage: false,
             refused: 0,
         };
-        let service = Self { inner: Arc::new((Mutex::new(inner), Condvar::new())), address, record };
+        let service = Self {
+            inner: Arc::new((Mutex::new(inner), Condvar::new())),
+            address,
+            record,
+        };
         let served = service.clone();
-        http::serve(listener, move |method, path, body| served.answer(method, path, body));
+        http::serve(listener, move |method, path, body| {
+            served.answer(method, path, body)
+        });
         let ticked = service.clone();
         thread::spawn(move || {
             loop {
@@ -129,7 +138,11 @@
     /// The member that the leader key names.
     pub fn leader(&self) -> Option<String> {
         let inner = self.inner.0.lock().unwrap();
-        Some(inner.keys.get("cf/leader")?.data["member"].as_str()?.to_string())
+        Some(
+            inner.keys.get("cf/leader")?.data["member"]
+                .as_str()?
+                .to_string(),
+        )
     }
 
     fn expire_leases(&self) {
@@ -138,8 +151,12 @@
             return;
         }
         let now = Instant::now();
-        let ended: Vec<u64> =
-            inner.leases.iter().filter(|(_, l)| l.ends <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = inner
+            .leases
+            .iter()
+            .filter(|(_, l)| l.ends <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for id in ended {
             inner.end_lease(id);
         }
@@ -149,8 +166,10 @@
 
     fn answer(&self, method: &str, path: &str, body: &[u8]) -> Answer {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
-        let query: BTreeMap<&str, &str> =
-            query.split('&').filter_map(|part| part.split_once('=')).collect();
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|part| part.split_once('='))
+            .collect();
         {
             let mut inner = self.inner.0.lock().unwrap();
             if inner.outage {
@@ -171,7 +190,8 @@
             ("POST", "/multi") => {
                 let reply = inner.multi(body);
                 if reply.0 == 400 {
-                    self.record.line(&format!("state service: POST /multi -> 400 {}", reply.1));
+                    self.record
+                        .line(&format!("state service: POST /multi -> 400 {}", reply.1));
                 }
                 reply
             }
@@ -180,11 +200,20 @@
                 let ttl = Duration::from_millis(request["ttl_ms"].as_u64().unwrap_or(0));
                 inner.next_lease += 1;
                 let id = inner.next_lease;
-                inner.leases.insert(id, Lease { ttl, ends: Instant::now() + ttl });
+                inner.leases.insert(
+                    id,
+                    Lease {
+                        ttl,
+                        ends: Instant::now() + ttl,
+                    },
+                );
                 (200, json!({"grant": id}))
             }
             (_, path) if path.starts_with("/leases/") => {
-                let id = path["/leases/".len()..].trim_end_matches("/extend").parse().unwrap_or(0);
+                let id = path["/leases/".len()..]
+                    .trim_end_matches("/extend")
+                    .parse()
+                    .unwrap_or(0);
                 if !inner.leases.contains_key(&id) {
                     (404, json!({}))
                 } else if method == "DELETE" {
@@ -206,7 +235,10 @@
     fn watch(&self, query: &BTreeMap<&str, &str>) -> Reply {
         let prefix = query.get("prefix").copied().unwrap_or("");
         let since: u64 = query.get("since").and_then(|s| s.parse().ok()).unwrap_or(0);
-        let block: u64 = query.get("block_ms").and_then(|s| s.parse().ok()).unwrap_or(0);
+        let block: u64 = query
+            .get("block_ms")
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(block.min(60_000));
         let mut inner = self.inner.0.lock().unwrap();
         loop {
@@ -227,7 +259,9 @@
                     return (200, json!({"epoch": inner.epoch, "events": events}));
                 }
             }
-            let wait = end.saturating_duration_since(Instant::now()).max(Duration::from_millis(5));
+            let wait = end
+                .saturating_duration_since(Instant::now())
+                .max(Duration::from_millis(5));
             inner = self.inner.1.wait_timeout(inner, wait).unwrap().0;
         }
     }
@@ -260,9 +294,10 @@
 
     fn get(&self, key: &str) -> Reply {
         match self.keys.get(key) {
-            Some(entry) => {
-                (200, json!({"path": key, "data": entry.data, "stamp": entry.stamp, "grant": entry.lease}))
-            }
+            Some(entry) => (
+                200,
+                json!({"path": key, "data": entry.data, "stamp": entry.stamp, "grant": entry.lease}),
+            ),
             None => (404, json!({"epoch": self.epoch})),
         }
     }
@@ -270,7 +305,11 @@
     fn list(&self, query: &BTreeMap<&str, &str>) -> Reply {
         let prefix = query.get("prefix").copied().unwrap_or("");
         let since = query.get("since").copied().unwrap_or("");
-        let page = query.get("page").and_then(|p| p.parse().ok()).unwrap_or(1000).min(1000);
+        let page = query
+            .get("page")
+            .and_then(|p| p.parse().ok())
+            .unwrap_or(1000)
+            .min(1000);
         let mut items = Vec::new();
         let mut bytes = 0;
         let mut more = false;
@@ -289,7 +328,10 @@
             }
             items.push(item);
         }
-        (200, json!({"items": items, "more": more, "epoch": self.epoch}))
+        (
+            200,
+            json!({"items": items, "more": more, "epoch": self.epoch}),
+        )
     }
 
     fn multi(&mut self, body: &[u8]) -> Reply {
@@ -301,15 +343,25 @@
         let apply = request["apply"].as_array().unwrap_or(&none);
         let limits = self.limits;
         let value_bytes = (limits.value_kb * 1024.0) as usize;
-        let largest = apply.iter().map(|op| op["data"].to_string().len()).max().unwrap_or(0);
+        let largest = apply
+            .iter()
+            .map(|op| op["data"].to_string().len())
+            .max()
+            .unwrap_or(0);
         let problem = if apply.len() > limits.txn_ops {
-            Some(format!("{} changes, allowed are {}", apply.len(), limits.txn_ops))
+            Some(format!(
+                "{} changes, allowed are {}",
+                apply.len(),
+                limits.txn_ops
+            ))
         } else if guards.len() > 4 * limits.txn_ops {
             Some(format!("{} conditions", guards.len()))
         } else if body.len() > 64 * 1024 {
             Some(format!("{} bytes", body.len()))
         } else if largest > value_bytes {
-            Some(format!("a value of {largest} bytes, allowed are {value_bytes}"))
+            Some(format!(
+                "a value of {largest} bytes, allowed are {value_bytes}"
+            ))
         } else {
             None
         };
@@ -321,14 +373,21 @@
             return (429, json!({"error": "too many changes"}));
         }
         for op in apply {
-            if op["grant"].as_u64().is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            if op["grant"]
+                .as_u64()
+                .is_some_and(|lease| !self.leases.contains_key(&lease))
+            {
                 return (400, json!({"error": "no such lease"}));
             }
         }
         let stamp = |key: &str| self.keys.get(key).map_or(0, |entry| entry.stamp);
         let failed: Vec<&str> = guards
             .iter()
-            .filter_map(|guard| guard["path"].as_str().map(|key| (key, guard["stamp"].as_u64())))
+            .filter_map(|guard| {
+                guard["path"]
+                    .as_str()
+                    .map(|key| (key, guard["stamp"].as_u64()))
+            })
             .filter(|(key, expected)| Some(stamp(key)) != *expected)
             .map(|(key, _)| key)
             .collect();
@@ -341,7 +400,11 @@
         for op in apply {
             if let Some(key) = op["set"].as_str() {
                 let data = op["data"].clone();
-                let entry = Entry { data: data.clone(), stamp: self.epoch, lease: op["grant"].as_u64() };
+                let entry = Entry {
+                    data: data.clone(),
+                    stamp: self.epoch,
+                    lease: op["grant"].as_u64(),
+                };
                 self.keys.insert(key.to_string(), entry);
                 self.changed(key, Some(data));
             } else if let Some(key) = op["drop"].as_str()
--- a/review/standin/src/zone_machine_taken.rs
+++ b/review/standin/src/zone_machine_taken.rs
@@ -58,7 +58,10 @@
     }
     let taken_at = site.record.now();
     while site.record.now() < taken_at + WAIT_S {
-        let restarted = starts(site).iter().zip(&before).any(|(now, then)| now > then);
+        let restarted = starts(site)
+            .iter()
+            .zip(&before)
+            .any(|(now, then)| now > then);
         if restarted || is_done(site) {
             return Outcome::Held;
         }
