--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -1,5 +1,6 @@
 //! A small deployment: controllers as separate processes, with settings of the render farm.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -168,6 +169,12 @@
             .spawn()
             .expect("a controller");
         self.record.line(&format!("{} started", controller.name));
+        // The script ends the processes if it is stopped itself.
+        if let Ok(path) = std::env::var("REVIEW_PIDS")
+            && let Ok(mut file) = std::fs::OpenOptions::new().append(true).open(path)
+        {
+            let _ = writeln!(file, "{}", child.id());
+        }
         PROCESSES.lock().unwrap()[i] = Some(child);
     }
 
