--- a/review/standin/src/limits_lowered.rs
+++ b/review/standin/src/limits_lowered.rs
@@ -84,7 +84,7 @@
     }
     let open: Vec<String> = completed
         .iter()
-        .filter(|&&n| !is_done(site, n))
+        .filter(|&&n| is_called_something_else(site, n))
         .map(|&n| uid(n))
         .collect();
     if open.is_empty() {
@@ -108,6 +108,12 @@
     answer.is_some_and(|(status, value)| status == 200 && value["phase"] == "done")
 }
 
+/// Whether an answer calls the job something other than done. No answer does not count.
+fn is_called_something_else(site: &mut Deployment, number: u32) -> bool {
+    let answer = site.request("GET", &format!("/work/{}", uid(number)), &Value::Null, 2.0);
+    answer.is_some_and(|(status, value)| status == 200 && value["phase"] != "done")
+}
+
 fn wait_done(site: &mut Deployment, number: u32, for_s: f64) -> bool {
     let end = site.record.now() + for_s;
     while site.record.now() < end {
