Simulation: fakes list the machines that exist, and small fleets lose them

It always began with six workers that nobody takes back, crashed workers stayed listed as running for ever, and the harness of the core answered every list of workers with an empty one.

Change: scenarios may begin with any fleet; the cloud takes single workers or all workers of a zone without notice, or they hang; its list lags where a scenario says so, omits workers that were taken and shows crashed ones as failed after 30 s; the core's harness lists the workers that it has.

--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -24,6 +24,8 @@
 const GANG_PEER_S: f64 = 2.0;
 /// How long a task waits for the other tasks of its gang to become ready.
 pub const GANG_WAIT_S: f64 = 20.0;
+/// How long the cloud lists a crashed worker as running before it lists it as failed.
+const FAILURE_DETECTION_S: f64 = 30.0;
 
 /// A job and the answers that its user has received about it.
 #[derive(Clone, Debug)]
@@ -118,6 +120,10 @@
     pub hung: bool,
     /// Crashed: it does nothing any more, though the cloud still lists it.
     pub dead: bool,
+    /// When it crashed.
+    died_at: f64,
+    /// When it was provisioned.
+    provisioned_at: f64,
     /// Incremented when its lease expires.
     pub incarnation: u64,
     /// Number of heartbeats made so far.
@@ -152,6 +158,11 @@
     pub cancel_s: f64,
     /// The time from the provisioning of a worker until it has booted.
     pub boot_s: f64,
+    /// The age of the cloud's list of workers.
+    pub list_lag_s: f64,
+    /// Workers that the cloud has taken back or that were returned, each with the time at which it
+    /// went. The list names them until it is newer than that.
+    gone_workers: Vec<(f64, Worker)>,
     /// The number of CPUs that a team may use at once, for teams with a limit.
     pub cpu_limits: BTreeMap<String, f64>,
     /// Jobs whose last task has completed; the caller takes them out.
@@ -183,6 +194,8 @@
             lease_s: LEASE_S,
             cancel_s: CANCEL_S,
             boot_s: 6.0,
+            list_lag_s: 0.0,
+            gone_workers: Vec::new(),
             cpu_limits: BTreeMap::new(),
             newly_completed: Vec::new(),
             overtaken_answers: 0,
@@ -203,6 +216,19 @@
             .is_some_and(|t| t.state.occupies_worker())
     }
 
+    /// The entry of the worker in a list of workers that describes the time `at`.
+    fn listing(&self, at: f64) -> Value {
+        let phase = if at >= self.died_at + FAILURE_DETECTION_S {
+            "failed"
+        } else if self.up_at <= at {
+            "running"
+        } else {
+            "starting"
+        };
+        json!({"uid": self.name, "address": "", "flavor": self.machine_type, "region": self.zone,
+            "preemptibles": self.spot, "phase": phase, "held_s": 1.0})
+    }
+
     /// The next heartbeat, as on the wire.
     pub fn heartbeat(&mut self) -> Value {
         self.counter += 1;
@@ -253,6 +279,8 @@
                 up_at,
                 hung: false,
                 dead: false,
+                died_at: f64::INFINITY,
+                provisioned_at: self.now,
                 incarnation: 1,
                 counter: 0,
                 token: 0,
@@ -768,7 +796,15 @@
         }
     }
 
-    /// Removes a worker that is lost or scaled in.
+    /// Crashes a worker: it does nothing any more.
+    pub fn crash_worker(&mut self, name: &str) {
+        if let Some(w) = self.workers.get_mut(name) {
+            w.dead = true;
+            w.died_at = self.now;
+        }
+    }
+
+    /// Removes a worker that was taken back by the cloud or returned to it.
     pub fn remove_worker(&mut self, name: &str) {
         let Some(w) = self.workers.remove(name) else {
             return;
@@ -776,6 +812,19 @@
         for (task, t) in w.tasks.iter().filter(|(_, t)| t.state.occupies_worker()) {
             self.record_left(name, task, t.attempt);
         }
+        self.gone_workers.push((self.now, w));
+    }
+
+    /// The cloud's list of the workers after `since`, which describes the time
+    /// [`Self::list_lag_s`] ago.
+    fn list_workers(&self, since: &str) -> Vec<Value> {
+        let at = self.now - self.list_lag_s;
+        let gone = self.gone_workers.iter();
+        let not_yet_gone = gone.filter(|(gone_at, _)| *gone_at > at).map(|(_, w)| w);
+        let mut listed: Vec<&Worker> = self.workers.values().chain(not_yet_gone).collect();
+        listed.retain(|w| w.provisioned_at <= at && w.name.as_str() > since);
+        listed.sort_by(|a, b| a.name.cmp(&b.name));
+        listed.into_iter().map(|w| w.listing(at)).collect()
     }
 
     /// Answers a request to the cloud with a status and a body.
@@ -787,20 +836,7 @@
                 let since = path
                     .split_once("since=")
                     .map_or("", |(_, s)| s.split('&').next().unwrap_or(""));
-                let hosts: Vec<Value> = self
-                    .workers
-                    .values()
-                    .filter(|w| w.name.as_str() > since)
-                    .map(|w| {
-                        let phase = if w.up_at <= self.now {
-                            "running"
-                        } else {
-                            "starting"
-                        };
-                        json!({"uid": w.name, "address": "", "flavor": w.machine_type, "region": w.zone,
-                            "preemptibles": w.spot, "phase": phase, "held_s": 1.0})
-                    })
-                    .collect();
+                let hosts = self.list_workers(since);
                 (200, json!({"hosts": hosts, "more": false}))
             }
             ("POST", "/rentals") => {
--- a/crates/simulation/src/core_harness.rs
+++ b/crates/simulation/src/core_harness.rs
@@ -18,7 +18,7 @@
     StoredRegistryPage, bitmap::TaskBitmap,
 };
 use copperfield_fencing::timestamp;
-use copperfield_protocol::cloud::parse_machine_types;
+use copperfield_protocol::cloud::{ListedWorker, parse_machine_types};
 use copperfield_protocol::job::{JobOutcome, JobSpec, Kind, Phase};
 use copperfield_protocol::peer::AdminRequest;
 use copperfield_protocol::worker::{Command, Exit, Heartbeat, TaskPhase, TaskStatus, Verb};
@@ -31,6 +31,8 @@
 const TICK_S: f64 = 0.01;
 /// How long a worker takes to fetch an image that it does not have yet.
 pub const FETCH_S: f64 = 2.0;
+/// The address of every worker. No connection is opened to it.
+const WORKER_ADDRESS: &str = "10.1.0.1:9000";
 
 struct Worker {
     machine_type: &'static str,
@@ -530,7 +532,7 @@
         w.counter += 1;
         Heartbeat {
             worker: name.to_string(),
-            address: "10.1.0.1:9000".into(),
+            address: WORKER_ADDRESS.into(),
             machine_type: w.machine_type.into(),
             zone: w.zone.into(),
             spot: false,
@@ -702,13 +704,28 @@
                 let input = Input::ScaledIn { workers, ok: true };
                 self.scheduled_inputs.push((now + 0.1, input));
             }
-            Effect::ListWorkers => self
-                .scheduled_inputs
-                .push((now + 0.1, Input::WorkerList(Vec::new()))),
+            Effect::ListWorkers => {
+                let input = Input::WorkerList(self.list_workers());
+                self.scheduled_inputs.push((now + 0.1, input));
+            }
             _ => {}
         }
     }
 
+    /// The cloud's list of workers: those that run. The provisioned ones never boot and stay absent.
+    fn list_workers(&self) -> Vec<ListedWorker> {
+        let running = self.workers.iter().map(|(name, w)| ListedWorker {
+            name: name.clone(),
+            address: WORKER_ADDRESS.into(),
+            machine_type: w.machine_type.into(),
+            zone: w.zone.into(),
+            spot: false,
+            phase: "running".into(),
+            age_s: self.now,
+        });
+        running.collect()
+    }
+
     /// Ends the outage of the state service, and stores the writes that waited.
     pub fn end_outage(&mut self) {
         self.outage = false;
--- a/tests/simulated_cluster/faults.rs
+++ b/tests/simulated_cluster/faults.rs
@@ -41,6 +41,8 @@
     HangWorker(usize, f64),
     /// One of the two controllers that do not lead (0 or 1) crashes and restarts 3 s later.
     CrashFollower(usize),
+    /// One of the controllers that do not lead crashes and does not restart.
+    StopFollower,
     /// The leader is partitioned from all workers.
     PartitionLeaderFromWorkers(f64),
     /// The leader is partitioned from the state service.
@@ -70,6 +72,12 @@
     PartitionWorker(usize, f64),
     /// A worker dies and does not return.
     KillWorker(usize),
+    /// The cloud takes a spot worker back without notice.
+    TakeWorker(usize),
+    /// The cloud takes back all workers that are up, in the named zone or, if it is "*", in all.
+    TakeAllWorkers(&'static str),
+    /// All workers that are up in the named zone hang.
+    HangAllWorkers(&'static str, f64),
     /// The heartbeats of a worker reach no controller, while direct messages reach the worker.
     DropHeartbeatsFromWorker(usize, f64),
     /// The given share of transactions is carried out at once, but the answers are lost.
@@ -180,6 +188,10 @@
             let leader_index = await_leader(&cluster).await;
             restart_controller(&cluster, (leader_index + 1 + follower) % CONTROLLERS, 3.0);
         }
+        Fault::StopFollower => {
+            let leader_index = await_leader(&cluster).await;
+            kill_controller(&cluster, (leader_index + 1) % CONTROLLERS);
+        }
         Fault::PartitionLeaderFromWorkers(s) => {
             let Some(leader_name) = leader(&cluster).map(controller_name) else {
                 return;
@@ -339,19 +351,44 @@
             cluster.lock().unwrap().site.boot_s = usual_boot_s;
         }
         Fault::KillWorker(i) => {
-            if let Some(m) = cluster
-                .lock()
-                .unwrap()
-                .site
-                .workers
-                .get_mut(&format!("vm-{i:06}"))
-            {
-                m.dead = true;
+            let site = &mut cluster.lock().unwrap().site;
+            site.crash_worker(&format!("vm-{i:06}"));
+        }
+        Fault::TakeWorker(i) => {
+            let site = &mut cluster.lock().unwrap().site;
+            site.remove_worker(&format!("vm-{i:06}"));
+        }
+        Fault::TakeAllWorkers(zone) => {
+            for name in running_workers(&cluster, zone) {
+                cluster.lock().unwrap().site.remove_worker(&name);
             }
         }
+        Fault::HangAllWorkers(zone, s) => {
+            let names = running_workers(&cluster, zone);
+            let set_hung = |hung: bool| {
+                let site = &mut cluster.lock().unwrap().site;
+                for name in &names {
+                    if let Some(m) = site.workers.get_mut(name) {
+                        m.hung = hung;
+                    }
+                }
+            };
+            set_hung(true);
+            wait(s).await;
+            set_hung(false);
+        }
     }
 }
 
+/// The names of the workers that are up in a zone, or in all zones if it is "*".
+fn running_workers(cluster: &SharedCluster, zone: &str) -> Vec<String> {
+    let w = cluster.lock().unwrap();
+    let now = w.now();
+    let workers = w.site.workers.values();
+    let running = workers.filter(|m| m.up_at <= now && (zone == "*" || m.zone == zone));
+    running.map(|m| m.name.clone()).collect()
+}
+
 /// Waits until a leader is elected under another token than the present one. It may be the same
 /// controller.
 pub(super) async fn await_next_leader(cluster: &SharedCluster) {
@@ -384,7 +421,7 @@
 }
 
 /// Returns the leader key as the state service has stored it, also during an outage.
-pub(super) fn leader_key(cluster: &SharedCluster) -> Option<Value> {
+pub fn leader_key(cluster: &SharedCluster) -> Option<Value> {
     let mut w = cluster.lock().unwrap();
     let now = w.now();
     let outage = std::mem::take(&mut w.state.outage);
--- a/tests/simulated_cluster/scenario.rs
+++ b/tests/simulated_cluster/scenario.rs
@@ -82,6 +82,30 @@
 /// the cluster of [`start_long_lease_cluster`].
 pub const LONG_LEASE_SLACK_S: f64 = 10.0;
 
+/// A worker of the initial fleet: its machine type, its zone, and whether it is a spot worker.
+pub type FleetWorker = (&'static str, &'static str, bool);
+
+/// The initial fleet of most scenarios.
+const DEFAULT_FLEET: [FleetWorker; 6] = [
+    ("small", "a", false),
+    ("small", "b", false),
+    ("small", "a", false),
+    ("small", "b", false),
+    ("big", "a", false),
+    ("big", "b", false),
+];
+
+/// Age of the cloud's list of workers in the cluster of [`start_fleet`], in seconds, as in the
+/// settings of the controllers.
+const LIST_LAG_S: f64 = 1.0;
+
+/// Starts a cluster with this fleet instead of the default one. The cloud's list of workers lags.
+pub fn start_fleet(seed: u64, fleet: &[FleetWorker], tune: fn(&mut Tuning)) -> SharedCluster {
+    let mut site = Site::default();
+    site.list_lag_s = LIST_LAG_S;
+    start_fleet_on(seed, 0.0, 0.0, tune, site, fleet)
+}
+
 /// Starts a cluster on the given site, to which it adds the six workers.
 pub(super) fn start_cluster_on(
     seed: u64,
@@ -89,6 +113,17 @@
     limit: f64,
     tune: fn(&mut Tuning),
     site: Site,
+) -> SharedCluster {
+    start_fleet_on(seed, loss, limit, tune, site, &DEFAULT_FLEET)
+}
+
+fn start_fleet_on(
+    seed: u64,
+    loss: f64,
+    limit: f64,
+    tune: fn(&mut Tuning),
+    site: Site,
+    fleet: &[FleetWorker],
 ) -> SharedCluster {
     let cluster: SharedCluster = Arc::new(Mutex::new(SimulatedCluster {
         site,
@@ -124,14 +159,9 @@
         let team = ("team".to_string(), limit);
         cluster.lock().unwrap().site.cpu_limits.extend([team]);
     }
-    for i in 0..6 {
-        let zone = if i % 2 == 0 { "a" } else { "b" };
-        cluster.lock().unwrap().site.add_worker(
-            if i < 4 { "small" } else { "big" },
-            zone,
-            false,
-            0.0,
-        );
+    for (machine_type, zone, spot) in fleet {
+        let site = &mut cluster.lock().unwrap().site;
+        site.add_worker(machine_type, zone, *spot, 0.0);
     }
     for i in 0..CONTROLLERS {
         start_controller(&cluster, i, seed * 1000);
