Keep a leader that loses its last worker instead of resigning in a circle

Every controller led for 5 s and resigned, 17 times in 90 s.

Cause: has_lost_all_workers takes the silence of all workers for a partition of the leader. Each next leader found the worker in the registry and resigned too, after 4.6 s; the worker's lease of 12.3 s counts from the election, so no term outlasted it, the job stayed blocked and no worker was requested.

Change: a leader stays while every peer sends it statuses, because these carry every heartbeat that any controller receives. Where it cannot know, it resigns as before; a controller that has resigned and heard no worker since stays until every lease that it found has expired. Without peers it never resigns.

Tests: a_job_runs_again_after_the_last_worker_was_taken and leaders_that_hear_no_worker_resign_once_each failed before (job not started in 90 s, 24 elections) and pass. A partitioned leader still resigns, also the second time (a_leader_partitioned_from_workers_and_peers_resigns_each_time).

--- a/crates/sharding/src/coordinator.rs
+++ b/crates/sharding/src/coordinator.rs
@@ -193,9 +193,19 @@
     /// Whether every other controller has forwarded all heartbeats that it had buffered. A new
     /// leader need not probe the workers that sent them.
     pub fn all_peers_have_forwarded(&self) -> bool {
+        self.peers().all(|peer| peer.has_forwarded_all)
+    }
+
+    /// Whether every other controller has sent a status lately, with the heartbeats that it has
+    /// received.
+    pub fn all_peers_reachable(&self) -> bool {
+        self.peers().all(|peer| peer.reachable)
+    }
+
+    fn peers(&self) -> impl Iterator<Item = &ControllerState> {
         let controllers = (0u32..).zip(&self.controllers);
-        let mut peers = controllers.filter(|(index, _)| *index != self.leader);
-        peers.all(|(_, controller)| controller.has_forwarded_all)
+        let peers = controllers.filter(|(index, _)| *index != self.leader);
+        peers.map(|(_, controller)| controller)
     }
 
     /// Handles the status of a shard owner, see [`ShardTable::handle_status`]. `has_forwarded_all`
--- a/src/controller/event_loop.rs
+++ b/src/controller/event_loop.rs
@@ -20,6 +20,7 @@
 use crate::controller::outcome_cache::OutcomeCache;
 use crate::controller::pause_detector::PauseDetector;
 use crate::controller::pending_replies::PendingReply;
+use crate::controller::resignation::ResignationPolicy;
 use crate::controller::step_stats::StepStats;
 use crate::coordination::core::{Config, Core, Input};
 use crate::protocol::JobId;
@@ -70,6 +71,7 @@
     elected_at: Instant,
     machine_types: Option<Arc<Vec<MachineType>>>,
     outcomes: OutcomeCache,
+    resignation: ResignationPolicy,
     step_stats: StepStats,
 }
 
@@ -79,6 +81,7 @@
         let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
         let handle = ControllerHandle::new(sender);
         let controller = Self {
+            resignation: ResignationPolicy::new(!context.settings.peers.is_empty()),
             role: Role::Follower(start_follower(&context, &handle)),
             context,
             handle: handle.clone(),
@@ -278,6 +281,7 @@
         reply: oneshot::Sender<ApiResponse>,
         inputs: &mut Vec<Input>,
     ) {
+        self.resignation.record_heartbeat();
         match &mut self.role {
             Role::Leader(leader) if self.context.leadership.is_valid() => {
                 let ticket = leader.register(PendingReply::Heartbeat(reply));
@@ -392,8 +396,9 @@
             return;
         }
         let token = leader.token();
-        if leader.has_lost_all_workers() {
+        if self.resignation.should_resign(leader) {
             tracing::warn!(token, "all workers unresponsive: resigning leadership");
+            self.resignation.record_resignation();
             self.context.resign(token);
             return;
         }
--- a/src/controller/leader.rs
+++ b/src/controller/leader.rs
@@ -41,12 +41,22 @@
         self.core.lookup(job)
     }
 
-    /// Whether no worker has been heard from for so long that the fault must be this controller's
-    /// network.
+    /// Whether no worker has been heard from for longer than a single one needs to count as
+    /// unresponsive.
     pub fn has_lost_all_workers(&self) -> bool {
         self.core.has_lost_all_workers()
     }
 
+    /// Whether this leader learns of every heartbeat that any controller receives.
+    pub fn receives_heartbeats_of_all_peers(&self) -> bool {
+        self.core.receives_heartbeats_of_all_peers()
+    }
+
+    /// Whether no worker has been heard from for so long that no earlier lease is left.
+    pub fn silence_outlasts_leases(&self) -> bool {
+        self.core.silence_outlasts_leases()
+    }
+
     /// Registers a request and returns the ticket under which the core answers it.
     pub fn register(&mut self, reply: PendingReply) -> u64 {
         self.replies.register(reply)
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -14,4 +14,5 @@
 mod pause_detector;
 mod pending_replies;
 mod relay_batch;
+mod resignation;
 mod step_stats;
--- a/src/coordination/reconciliation/leases.rs
+++ b/src/coordination/reconciliation/leases.rs
@@ -8,23 +8,38 @@
 /// Added to the lease for the delay of timers and queues in the worker.
 const LEASE_MARGIN_S: Time = 0.3;
 /// The extra time without any heartbeat, after every worker has become unresponsive, before the
-/// leader considers itself partitioned.
+/// leader may consider itself partitioned.
 const ALL_UNRESPONSIVE_MARGIN_S: Time = 0.5;
 
 impl Core {
     /// Whether all workers have been silent for longer than it takes a single one to count as
-    /// unresponsive. In that case this controller is partitioned, and another one should lead.
+    /// unresponsive. In that case this controller is partitioned, or all workers are gone.
     pub fn has_lost_all_workers(&self) -> bool {
-        let timeout_s = self.unresponsive_after_s() + ALL_UNRESPONSIVE_MARGIN_S;
-        let last = self
-            .workers
-            .iter()
-            .filter_map(|(_, worker)| worker.last_heartbeat_at)
-            .fold(self.expecting_heartbeats_since, f64::max);
         self.workers
             .iter()
             .any(|(_, worker)| worker.known_to_predecessor || worker.last_heartbeat_at.is_some())
-            && self.now - last > timeout_s
+            && self.silence_s() > self.all_unresponsive_after_s()
+    }
+
+    /// Whether all workers have been silent for so long that no lease is left that this leader or
+    /// an earlier one granted. No job is blocked for lost workers any more.
+    pub fn silence_outlasts_leases(&self) -> bool {
+        let leader_ttl_s = self.config.tuning.leader_ttl_ms as f64 / 1000.0;
+        let leases_s = leader_ttl_s + self.lease_upper_bound_s();
+        self.silence_s() > leases_s + self.all_unresponsive_after_s()
+    }
+
+    /// For how long no worker has been heard.
+    fn silence_s(&self) -> Time {
+        let heartbeats = self
+            .workers
+            .iter()
+            .filter_map(|(_, worker)| worker.last_heartbeat_at);
+        self.now - heartbeats.fold(self.expecting_heartbeats_since, f64::max)
+    }
+
+    fn all_unresponsive_after_s(&self) -> Time {
+        self.unresponsive_after_s() + ALL_UNRESPONSIVE_MARGIN_S
     }
 
     /// When a worker's lease will certainly have expired; infinite while a shard owner may renew
--- a/src/coordination/sharding/status.rs
+++ b/src/coordination/sharding/status.rs
@@ -155,6 +155,13 @@
         self.workers[worker_index].queue_missing(commands);
     }
 
+    /// Whether every other controller forwards the heartbeats that it receives, so that no
+    /// controller hears a worker that this leader does not hear.
+    pub fn receives_heartbeats_of_all_peers(&self) -> bool {
+        let sharding = self.sharding.as_ref();
+        sharding.is_some_and(|s| s.coordinator.all_peers_reachable())
+    }
+
     /// Whether a new leader still waits for the heartbeats that shard owners have buffered.
     pub(in crate::coordination) fn awaits_forwarded_heartbeats(&self) -> bool {
         self.now < self.elected_at + FORWARDING_WAIT_S
--- a/tests/simulated_cluster/faults.rs
+++ b/tests/simulated_cluster/faults.rs
@@ -45,6 +45,9 @@
     StopFollower,
     /// The leader is partitioned from all workers.
     PartitionLeaderFromWorkers(f64),
+    /// The leader is partitioned from all workers and from the other controllers, but not from the
+    /// state service.
+    PartitionLeaderFromWorkersAndPeers(f64),
     /// The leader is partitioned from the state service.
     PartitionLeaderFromState(f64),
     /// The leader is partitioned from the state service and from the other controllers.
@@ -193,51 +196,26 @@
             kill_controller(&cluster, (leader_index + 1) % CONTROLLERS);
         }
         Fault::PartitionLeaderFromWorkers(s) => {
-            let Some(leader_name) = leader(&cluster).map(controller_name) else {
-                return;
-            };
-            let workers: Vec<String> = cluster
-                .lock()
-                .unwrap()
-                .site
-                .workers
-                .keys()
-                .cloned()
-                .collect();
-            let pairs: Vec<_> = workers
-                .into_iter()
-                .map(|worker| (leader_name.clone(), worker))
-                .collect();
-            cluster.lock().unwrap().partitions.extend(pairs.clone());
-            wait(s).await;
-            cluster
-                .lock()
-                .unwrap()
-                .partitions
-                .retain(|c| !pairs.contains(c));
+            if let Some(leader_index) = leader(&cluster) {
+                let workers = worker_names(&cluster);
+                partition_controller(&cluster, leader_index, &workers, s).await;
+            }
+        }
+        Fault::PartitionLeaderFromWorkersAndPeers(s) => {
+            let leader_index = await_leader(&cluster).await;
+            let mut others = worker_names(&cluster);
+            others.extend(peer_names(leader_index));
+            partition_controller(&cluster, leader_index, &others, s).await;
         }
         Fault::PartitionLeaderFromState(s) => {
             let leader_index = await_leader(&cluster).await;
-            let pair = (controller_name(leader_index), "state".to_string());
-            cluster.lock().unwrap().partitions.insert(pair.clone());
-            wait(s).await;
-            cluster.lock().unwrap().partitions.remove(&pair);
+            partition_controller(&cluster, leader_index, &["state".into()], s).await;
         }
         Fault::PartitionLeaderFromStateAndPeers(s) => {
             let leader_index = await_leader(&cluster).await;
-            let to = |other: usize| (controller_name(leader_index), controller_name(other));
-            let mut pairs: Vec<_> = (0..CONTROLLERS)
-                .filter(|&o| o != leader_index)
-                .map(to)
-                .collect();
-            pairs.push((controller_name(leader_index), "state".to_string()));
-            cluster.lock().unwrap().partitions.extend(pairs.clone());
-            wait(s).await;
-            cluster
-                .lock()
-                .unwrap()
-                .partitions
-                .retain(|c| !pairs.contains(c));
+            let mut others = peer_names(leader_index);
+            others.push("state".into());
+            partition_controller(&cluster, leader_index, &others, s).await;
         }
         Fault::RefuseLeader(s) => {
             let leader_index = await_leader(&cluster).await;
@@ -380,6 +358,38 @@
     }
 }
 
+/// Partitions a controller from the named endpoints.
+async fn partition_controller(
+    cluster: &SharedCluster,
+    controller: usize,
+    endpoints: &[String],
+    duration_s: f64,
+) {
+    let pair = |endpoint: &String| (controller_name(controller), endpoint.clone());
+    let pairs: Vec<_> = endpoints.iter().map(pair).collect();
+    cluster.lock().unwrap().partitions.extend(pairs.clone());
+    sleep(Duration::from_secs_f64(duration_s)).await;
+    let partitions = &mut cluster.lock().unwrap().partitions;
+    partitions.retain(|pair| !pairs.contains(pair));
+}
+
+/// The names of all controllers but one.
+fn peer_names(controller: usize) -> Vec<String> {
+    let peers = (0..CONTROLLERS).filter(|&i| i != controller);
+    peers.map(controller_name).collect()
+}
+
+fn worker_names(cluster: &SharedCluster) -> Vec<String> {
+    cluster
+        .lock()
+        .unwrap()
+        .site
+        .workers
+        .keys()
+        .cloned()
+        .collect()
+}
+
 /// The names of the workers that are up in a zone, or in all zones if it is "*".
 fn running_workers(cluster: &SharedCluster, zone: &str) -> Vec<String> {
     let w = cluster.lock().unwrap();
--- /dev/null
+++ b/tests/small_fleets.rs
@@ -0,0 +1,176 @@
+//! Small fleets that lose their last workers, in all zones or in one. Operators allow 90 s until a
+//! job runs again.
+
+mod simulated_cluster;
+
+use copperfield::settings::{Switch, Tuning};
+use copperfield_simulation::cluster::LEASE_S;
+use copperfield_simulation::history::EventKind;
+use serde_json::{Value, json};
+use tokio::time::{Duration, sleep};
+
+use simulated_cluster::*;
+
+/// When the workers are lost, in seconds. The job is running by then.
+const LOST_AT_S: f64 = 10.0;
+/// Maximum time in seconds until a job runs again.
+const MAX_RECOVERY_S: f64 = 90.0;
+/// How long a task runs, in seconds.
+const RUNTIME_S: f64 = 30.0;
+/// The id of the job in each run.
+const JOB: &str = "wk-000001";
+
+/// What happened after the workers were lost.
+#[derive(Debug)]
+struct Recovery {
+    /// Seconds until every task of the job has been started again.
+    after_s: Option<f64>,
+    /// The number of leaders elected.
+    elections: usize,
+    violations: Vec<String>,
+}
+
+impl Recovery {
+    fn expect_within(&self, bound_s: f64, context: &str) {
+        assert!(self.violations.is_empty(), "{context}: {self:#?}");
+        let in_time = self.after_s.is_some_and(|after_s| after_s <= bound_s);
+        assert!(in_time, "{context}: {self:?}");
+    }
+}
+
+/// Runs a job of two tasks on a fleet that loses workers at [`LOST_AT_S`] by the given faults, whose
+/// times are relative to that.
+fn lose_workers(
+    seed: u64,
+    fleet: &[FleetWorker],
+    job_fields: Value,
+    tune: fn(&mut Tuning),
+    faults: &[(f64, Fault)],
+) -> Recovery {
+    simulate(async move {
+        let cluster = start_fleet(seed, fleet, tune);
+        tokio::spawn(simulate_workers(cluster.clone()));
+        let mut body = job(1, "sweep", 2, job_fields);
+        body["preemptibles"] = json!(true);
+        let user = simulate_user(cluster.clone(), JOB.into(), body, RUNTIME_S, 2.0, None);
+        tokio::spawn(user);
+        for (at, fault) in faults.iter().copied() {
+            tokio::spawn(inject_fault(cluster.clone(), LOST_AT_S + at, fault, seed));
+        }
+        sleep(Duration::from_secs_f64(LOST_AT_S)).await;
+        let mut tokens = vec![leader_token(&cluster)];
+        let mut after_s = None;
+        while after_s.is_none() && cluster.lock().unwrap().now() < LOST_AT_S + MAX_RECOVERY_S {
+            sleep(Duration::from_millis(100)).await;
+            let token = leader_token(&cluster);
+            if token.is_some() && tokens.last() != Some(&token) {
+                tokens.push(token);
+            }
+            after_s = restarted_at(&cluster).map(|at| at - LOST_AT_S);
+        }
+        let violations = cluster.lock().unwrap().site.violations.clone();
+        Recovery {
+            after_s,
+            elections: tokens.len() - 1,
+            violations,
+        }
+    })
+}
+
+/// When the last of the job's two tasks was started after the workers were lost.
+fn restarted_at(cluster: &SharedCluster) -> Option<f64> {
+    let w = cluster.lock().unwrap();
+    let started = |task: String| {
+        let mut events = w.site.history.events().iter();
+        events
+            .find(|e| e.kind == EventKind::Started && e.task == task && e.at > LOST_AT_S)
+            .map(|e| e.at)
+    };
+    let first = started(format!("{JOB}/0"))?;
+    Some(first.max(started(format!("{JOB}/1"))?))
+}
+
+fn leader_token(cluster: &SharedCluster) -> Option<u64> {
+    leader_key(cluster).and_then(|key| key["stamp"].as_u64())
+}
+
+fn without_sharding(tuning: &mut Tuning) {
+    tuning.sharding = Switch::Off;
+}
+
+/// Guards against leaders that take the loss of the last worker for a partition. Each resigned
+/// before the worker's lease had expired, and the job never ran again.
+#[test]
+fn a_job_runs_again_after_the_last_worker_was_taken() {
+    let fleet = [("small", "a", true)];
+    let taken = (0.0, Fault::TakeAllWorkers("*"));
+    for seed in 0..4 {
+        let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &[taken]);
+        recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}"));
+        assert_eq!(recovery.elections, 0, "seed {seed}: {recovery:?}");
+    }
+}
+
+/// Guards against the same loop where the leader cannot know what one controller receives: the
+/// controllers do not share the workers, or one of them has crashed. Each controller may resign
+/// once before the leases have expired, and one more when they have.
+#[test]
+fn leaders_that_hear_no_worker_resign_once_each() {
+    let fleet = [("small", "a", true)];
+    let taken = (0.0, Fault::TakeAllWorkers("*"));
+    let follower_down = (-1.0, Fault::StopFollower);
+    for seed in 0..4 {
+        for (tune, faults) in [
+            (without_sharding as fn(&mut Tuning), vec![taken]),
+            (|_| (), vec![follower_down, taken]),
+        ] {
+            let recovery = lose_workers(seed, &fleet, json!({}), tune, &faults);
+            let context = format!("seed {seed}, {faults:?}");
+            recovery.expect_within(MAX_RECOVERY_S, &context);
+            assert!(
+                recovery.elections <= CONTROLLERS + 1,
+                "{context}: {recovery:?}"
+            );
+        }
+    }
+}
+
+/// Waits until the leader differs from `previous`, and returns for how many seconds.
+async fn await_other_leader(cluster: &SharedCluster, previous: usize) -> f64 {
+    let began_at = cluster.lock().unwrap().now();
+    loop {
+        let waited_s = cluster.lock().unwrap().now() - began_at;
+        if leader(cluster).is_some_and(|now| now != previous) {
+            return waited_s;
+        }
+        assert!(waited_s < MAX_RECOVERY_S, "host-{previous} still leads");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a partitioned leader that never resigns, although other controllers hear the
+/// workers. It may lead for about a lease before, if it has resigned once and heard no worker since.
+#[test]
+fn a_leader_partitioned_from_workers_and_peers_resigns_each_time() {
+    let fleet = [("small", "a", false), ("small", "b", false)];
+    for seed in 0..4 {
+        let terms_s = simulate(async move {
+            let cluster = start_fleet(seed, &fleet, |_| ());
+            tokio::spawn(simulate_workers(cluster.clone()));
+            sleep(Duration::from_secs_f64(LOST_AT_S)).await;
+            let first = leader(&cluster).expect("a leader");
+            let fault = Fault::PartitionLeaderFromWorkersAndPeers(200.0);
+            tokio::spawn(inject_fault(cluster.clone(), 0.0, fault, seed));
+            let first_term_s = await_other_leader(&cluster, first).await;
+            let others = (0..CONTROLLERS).filter(|&i| i != first);
+            others.clone().for_each(|i| kill_controller(&cluster, i));
+            while leader(&cluster) != Some(first) {
+                sleep(Duration::from_millis(50)).await;
+            }
+            others.for_each(|i| start_controller(&cluster, i, seed));
+            [first_term_s, await_other_leader(&cluster, first).await]
+        });
+        assert!(terms_s[0] < LEASE_S, "seed {seed}: {terms_s:?}");
+        assert!(terms_s[1] < 2.0 * LEASE_S + 2.0, "seed {seed}: {terms_s:?}");
+    }
+}
