Expire the leases of registered workers that the leader has never heard

What callers saw: after a failover jobs stay blocked for a whole lease, at each further failover again, for a worker that was lost long ago.

Cause: expire_leases skips a worker with incarnation 0, that is one that an earlier leader registered and this one never heard. It stays on its registry page for ever, and every next leader waits for it.

Change: the lease of such a worker expires like any other, by the bound that already ends the blocking of jobs; the worker leaves the registry and the fencing record.

--- a/src/coordination/reconciliation/leases.rs
+++ b/src/coordination/reconciliation/leases.rs
@@ -55,6 +55,13 @@
         self.config.cluster.workers.lease_s * CLOCK_DRIFT + LEASE_MARGIN_S
     }
 
+    /// Whether a worker may hold tasks under a lease: of this leader, or, if this leader has not
+    /// heard it, of an earlier one that registered it.
+    fn may_hold_lease(worker: &Worker) -> bool {
+        let unheard = worker.incarnation == 0;
+        worker.may_be_alive() || (unheard && worker.page.is_some())
+    }
+
     /// Clears the workers whose lease has expired: they have dropped their tasks.
     pub(crate) fn expire_leases(&mut self) {
         let mut expired = 0u32;
@@ -62,7 +69,7 @@
         let mut last = None;
         for worker_index in self.workers.indices() {
             let worker = &self.workers[worker_index];
-            if !worker.may_be_alive() || self.now <= self.lease_expires_at(worker) {
+            if !Self::may_hold_lease(worker) || self.now <= self.lease_expires_at(worker) {
                 continue;
             }
             tracing::debug!(
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -206,12 +206,36 @@
     harness.run(5.0);
     harness.unreachable.insert("a-small-1".into());
     harness.run(15.0);
-    let names: Vec<&String> = harness
-        .registry
-        .values()
-        .flat_map(|v| v.as_object().expect("a map").keys())
-        .collect();
-    assert_eq!(names, ["a-small-0", "a-small-2"]);
+    assert_eq!(registered_workers(&harness), ["a-small-0", "a-small-2"]);
+    harness.unreachable.clear();
+    harness.run(4.0);
+    let job = harness.submit(&json!({"uid": "wk-000001", "shards": 12, "memory_gb": 1.0}));
+    harness.run(3.0);
+    assert_eq!(
+        tasks_placed(&harness, job),
+        12,
+        "a worker that returns is registered again before it is used"
+    );
+}
+
+/// The names of the workers in the stored registry.
+fn registered_workers(harness: &CoreHarness) -> Vec<&String> {
+    let pages = harness.registry.values();
+    pages
+        .flat_map(|page| page.as_object().expect("a map").keys())
+        .collect()
+}
+
+/// Guards against the same for workers that this leader has never heard: they stayed in the
+/// registry for ever, and each later failover blocked the older jobs for a lease.
+#[test]
+fn lost_worker_that_the_leader_never_heard_leaves_the_registry() {
+    let mut harness = harness_with(&[("a", "small", 3)]);
+    harness.run(5.0);
+    harness.unreachable.insert("a-small-1".into());
+    harness.fail_over();
+    harness.run(18.0);
+    assert_eq!(registered_workers(&harness), ["a-small-0", "a-small-2"]);
     harness.unreachable.clear();
     harness.run(4.0);
     let job = harness.submit(&json!({"uid": "wk-000001", "shards": 12, "memory_gb": 1.0}));
