Log changes of a zone's health, and judge all zones in one pass

Whether no worker is requested because the zone counts as unresponsive, because its pools are avoided, or because the job does not count as waiting, cannot be told from the logs.

Change: provisioning/zones.rs keeps the health of each zone and logs each change with the number of workers that respond and do not. One pass over the workers instead of one for each zone; replicas at risk no longer travel with a list of zones.

--- a/src/coordination/provisioning/mod.rs
+++ b/src/coordination/provisioning/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! `scale_out` and `scale_in` send requests and handle their results, `boots` estimates boot times,
 //! `unresponsive` releases workers that this leader cannot reach, `recent_heartbeats` tells which
-//! zones are reachable, and `quarantine` distinguishes faulty workers from faulty jobs.
+//! zones are reachable, `zones` where new workers can be expected to be reachable, and `quarantine`
+//! distinguishes faulty workers from faulty jobs.
 
 mod boots;
 mod quarantine;
@@ -14,6 +15,7 @@
 mod scale_in;
 mod scale_out;
 mod unresponsive;
+mod zones;
 
 use std::collections::BTreeMap;
 
@@ -25,6 +27,7 @@
 
 use boots::BootingWorker;
 use scale_out::{CapacityPool, ProvisioningRequest};
+use zones::ZoneHealth;
 
 /// How often the list of workers is read from the cloud.
 const LIST_INTERVAL_S: Time = 3.0;
@@ -50,6 +53,8 @@
     /// The moving average of boot times by instance type, as a multiple of the boot time that the
     /// cloud states.
     boot_time_factors: BTreeMap<u32, f64>,
+    /// The health of each zone at the last update, by index of the zone.
+    zone_health: Vec<ZoneHealth>,
     /// Pools that had no capacity or refused a request, and until when they are not requested from.
     avoided_until: BTreeMap<CapacityPool, Time>,
     next_list_at: Time,
@@ -70,6 +75,7 @@
             pending_requests: BTreeMap::new(),
             booting: BTreeMap::new(),
             boot_time_factors: BTreeMap::new(),
+            zone_health: Vec::new(),
             avoided_until: BTreeMap::new(),
             next_list_at: now,
             next_types_at: now,
--- a/src/coordination/provisioning/scale_out.rs
+++ b/src/coordination/provisioning/scale_out.rs
@@ -9,6 +9,7 @@
 use crate::coordination::state::Core;
 
 use super::boots::BootingWorker;
+use super::zones::ZoneHealth;
 
 /// How long no workers are requested from a pool after the cloud had no capacity in it.
 const NO_CAPACITY_S: Time = 20.0;
@@ -85,14 +86,9 @@
     wanted: BTreeMap<CapacityPool, u32>,
 }
 
-/// The replicas that need replacements because their zones are unresponsive, and those zones, in
-/// which no workers are requested.
-struct ScaleOutDemand {
-    /// By zone index, whether most workers of the zone are unresponsive.
-    zones_unresponsive: Vec<bool>,
-    /// By index of the service's job, the number of its replicas in such zones.
-    replicas_at_risk: BTreeMap<u32, u32>,
-}
+/// By index of the service's job, the number of its replicas that need replacements because their
+/// zones are unresponsive.
+type ReplicasAtRisk = BTreeMap<u32, u32>;
 
 impl Core {
     /// Handles the outcome of a scale-out request, which may be that no response arrived.
@@ -146,6 +142,7 @@
         if !self.provisioning.pending_requests.is_empty() || !self.provisioning.workers_listed {
             return;
         }
+        self.update_zone_health();
         let wanted = self.plan_scale_out();
         for (pool, count) in wanted.into_iter().take(MAX_REQUESTS) {
             self.request_workers(pool, count);
@@ -154,32 +151,21 @@
 
     /// Returns how many workers to request from each pool. Jobs of the highest weight come first.
     fn plan_scale_out(&self) -> BTreeMap<CapacityPool, u32> {
-        let demand = self.scale_out_demand();
+        let at_risk = self.replicas_at_risk();
         let mut plan = ScaleOutPlan {
             allowed: self.allowed_workers(),
             available: self.available_booting_workers(),
             wanted: BTreeMap::new(),
         };
-        if !demand.replicas_at_risk.is_empty() {
-            plan.available
-                .extend(self.available_workers_outside(&demand.zones_unresponsive));
+        if !at_risk.is_empty() {
+            plan.available.extend(self.available_workers());
         }
-        for job_index in self.jobs_by_weight(&demand) {
-            self.plan_workers_for(job_index, &demand, &mut plan);
+        for job_index in self.jobs_by_weight(&at_risk) {
+            self.plan_workers_for(job_index, &at_risk, &mut plan);
         }
         plan.wanted
     }
 
-    /// Returns the unresponsive zones and the replicas that need replacements because of them.
-    fn scale_out_demand(&self) -> ScaleOutDemand {
-        let zones = 0..self.zones.len() as u32;
-        let zones_unresponsive: Vec<bool> = zones.map(|z| self.zone_is_unresponsive(z)).collect();
-        ScaleOutDemand {
-            replicas_at_risk: self.replicas_at_risk(&zones_unresponsive),
-            zones_unresponsive,
-        }
-    }
-
     /// Returns how many workers may be requested without exceeding the configured maximum.
     fn allowed_workers(&self) -> u32 {
         let limit = self.config.tuning.fleet_max;
@@ -199,14 +185,14 @@
     }
 
     /// Returns the jobs that need new workers, by descending weight.
-    fn jobs_by_weight(&self, demand: &ScaleOutDemand) -> Vec<u32> {
+    fn jobs_by_weight(&self, at_risk: &ReplicasAtRisk) -> Vec<u32> {
         let mut jobs: Vec<(f64, u32)> = self
             .jobs
             .iter()
             .filter(|(job_index, job)| {
                 job.state == JobState::Live
                     && !self.is_faulty_job(*job_index)
-                    && (self.needs_workers(job) || demand.replicas_at_risk.contains_key(job_index))
+                    && (self.needs_workers(job) || at_risk.contains_key(job_index))
             })
             .map(|(job_index, _)| (self.weight(job_index), job_index))
             .collect();
@@ -215,7 +201,7 @@
     }
 
     /// Plans new workers for the tasks of a job that do not fit on the available ones.
-    fn plan_workers_for(&self, job_index: u32, demand: &ScaleOutDemand, plan: &mut ScaleOutPlan) {
+    fn plan_workers_for(&self, job_index: u32, at_risk: &ReplicasAtRisk, plan: &mut ScaleOutPlan) {
         let job = &self.jobs[job_index];
         let needs = job.spec.needs;
         let waiting = if self.needs_workers(job) {
@@ -226,11 +212,7 @@
         let mut remaining = waiting
             .min(MAX_TASKS_PER_JOB)
             .min(self.trial_start_limit(job_index));
-        remaining += demand
-            .replicas_at_risk
-            .get(&job_index)
-            .copied()
-            .unwrap_or(0);
+        remaining += at_risk.get(&job_index).copied().unwrap_or(0);
         for worker in plan
             .available
             .iter_mut()
@@ -239,8 +221,7 @@
             remaining = worker.pack_tasks(&needs, remaining);
         }
         while remaining > 0 && plan.allowed > 0 {
-            let zones_unresponsive = &demand.zones_unresponsive;
-            let Some(pool) = self.cheapest_pool(job_index, &plan.wanted, zones_unresponsive) else {
+            let Some(pool) = self.cheapest_pool(job_index, &plan.wanted) else {
                 break;
             };
             let Some(instance_type) = self.types.get(pool.instance_type) else {
@@ -278,13 +259,11 @@
     /// zones. They keep running until their workers' leases expire, and then all need new workers
     /// at once. Booting takes about as long as a lease, so replacements are requested before the
     /// leases expire.
-    fn replicas_at_risk(&self, zones_unresponsive: &[bool]) -> BTreeMap<u32, u32> {
+    fn replicas_at_risk(&self) -> ReplicasAtRisk {
         let mut replicas = BTreeMap::new();
-        if !zones_unresponsive.contains(&true) {
-            return replicas;
-        }
         for (worker_index, worker) in self.workers.iter() {
-            if !zones_unresponsive[worker.zone as usize] || !self.is_unresponsive(worker_index) {
+            let zone_responsive = self.zone_health(worker.zone) == ZoneHealth::Responsive;
+            if zone_responsive || !self.is_unresponsive(worker_index) {
                 continue;
             }
             for (id, instance) in &worker.instances {
@@ -297,12 +276,12 @@
         replicas
     }
 
-    /// Returns the usable workers without reservations outside of unresponsive zones.
-    fn available_workers_outside(&self, zones_unresponsive: &[bool]) -> Vec<AvailableWorker> {
+    /// Returns the usable workers without reservations in responsive zones.
+    fn available_workers(&self) -> Vec<AvailableWorker> {
         self.workers
             .iter()
             .filter(|(worker_index, worker)| {
-                !zones_unresponsive[worker.zone as usize]
+                self.zone_health(worker.zone) == ZoneHealth::Responsive
                     && self.worker_usable(*worker_index)
                     && worker.reservations.is_empty()
             })
@@ -320,7 +299,6 @@
         &self,
         job_index: u32,
         wanted: &BTreeMap<CapacityPool, u32>,
-        zones_unresponsive: &[bool],
     ) -> Option<CapacityPool> {
         let job = &self.jobs[job_index];
         let mut best: Option<((f64, u32), CapacityPool)> = None;
@@ -336,7 +314,7 @@
             let share = job.spec.needs.dominant_share_of(&described.capacity);
             for zone in 0..self.zones.len() as u32 {
                 let offered = described.zones.iter().any(|z| z == self.zones.name(zone));
-                let unresponsive = zones_unresponsive[zone as usize];
+                let unresponsive = self.zone_health(zone) == ZoneHealth::Unresponsive;
                 if !offered || unresponsive || !self.job_allows_zone(job_index, zone) {
                     continue;
                 }
--- a/src/coordination/provisioning/unresponsive.rs
+++ b/src/coordination/provisioning/unresponsive.rs
@@ -264,19 +264,6 @@
         recent
     }
 
-    /// Returns whether most workers of a zone are unresponsive. New workers there would be
-    /// unresponsive too.
-    pub(super) fn zone_is_unresponsive(&self, zone: u32) -> bool {
-        let (mut unresponsive, mut all) = (0, 0);
-        for (worker_index, worker) in self.workers.iter() {
-            if worker.zone == zone && worker.last_heartbeat_at.is_some() {
-                all += 1;
-                unresponsive += u32::from(self.is_unresponsive(worker_index));
-            }
-        }
-        all > 0 && unresponsive * 2 > all
-    }
-
     /// Logs the workers released in one step. A single worker is logged by name; several are logged
     /// as a count, and by name at debug level.
     fn log_released(&self, reason: ReleaseReason, released: &[u32]) {
