Bound the time for which a zone counts as unresponsive by its workers' leases

Cause: zone_is_unresponsive counted every worker that this leader had ever heard. A worker that is gone stays in the table, so the zone counted as partitioned for as long as the leader led and no worker was requested there.

Change: only workers whose lease may be valid count. If all of a zone's workers have lost their leases its health is Unknown: jobs prefer other zones, and one that has no other gets one worker there at a time, until one of them shows that the zone is reachable. The choice of a pool is split into the candidates, their cost and their order.

--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -28,11 +28,7 @@
             .descriptions
             .iter()
             .enumerate()
-            .filter(|(index, _)| {
-                job.types
-                    .as_ref()
-                    .is_none_or(|types| types.contains(&(*index as u32)))
-            })
+            .filter(|(index, _)| job.allows_type(*index as u32))
             .filter_map(|(_, instance_type)| instance_type.as_ref())
             .filter(|instance_type| job.spec.needs.fits_in(&instance_type.capacity))
             .map(|instance_type| job.spec.needs.dominant_share_of(&instance_type.capacity))
--- a/src/coordination/model/job.rs
+++ b/src/coordination/model/job.rs
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Whether the job allows workers of this instance type.
+    pub fn allows_type(&self, instance_type: u32) -> bool {
+        let allowed = self.types.as_ref();
+        allowed.is_none_or(|types| types.contains(&instance_type))
+    }
+
     /// The number of tasks that are not done and certainly not on any worker.
     pub fn waiting(&self) -> u32 {
         self.spec.tasks - self.done - self.active
--- a/src/coordination/provisioning/boots.rs
+++ b/src/coordination/provisioning/boots.rs
@@ -30,6 +30,8 @@
 pub(super) struct BootingWorker {
     /// Index of the instance type.
     pub(super) instance_type: u32,
+    /// Index of the zone.
+    pub(super) zone: u32,
     /// When the boot began.
     pub(super) since: Time,
     /// Whether it is a spot worker, which the cloud may reclaim.
@@ -80,6 +82,7 @@
                 let instance_type = self.types.get(worker.instance_type)?;
                 Some(AvailableWorker {
                     instance_type: worker.instance_type,
+                    zone: worker.zone,
                     spot: worker.spot,
                     free: instance_type.capacity,
                 })
--- a/src/coordination/provisioning/mod.rs
+++ b/src/coordination/provisioning/mod.rs
@@ -118,6 +118,7 @@
                         .entry(entry.name)
                         .or_insert(BootingWorker {
                             instance_type,
+                            zone,
                             since,
                             spot: entry.spot,
                         });
--- a/src/coordination/provisioning/scale_out.rs
+++ b/src/coordination/provisioning/scale_out.rs
@@ -48,6 +48,8 @@
 pub(super) struct AvailableWorker {
     /// Index of the worker's instance type.
     pub(super) instance_type: u32,
+    /// Index of its zone.
+    pub(super) zone: u32,
     /// Whether it is a spot worker, which the cloud may reclaim.
     pub(super) spot: bool,
     /// Its free resources.
@@ -67,11 +69,7 @@
 
     /// Returns whether a job allows the worker's instance type, and spot if it is a spot worker.
     fn allowed_for(&self, job: &Job) -> bool {
-        (!self.spot || job.spec.spot)
-            && job
-                .types
-                .as_ref()
-                .is_none_or(|types| types.contains(&self.instance_type))
+        (!self.spot || job.spec.spot) && job.allows_type(self.instance_type)
     }
 }
 
@@ -90,6 +88,13 @@
 /// zones are unresponsive.
 type ReplicasAtRisk = BTreeMap<u32, u32>;
 
+impl ScaleOutPlan {
+    /// Returns whether workers boot or are planned in a zone that does not respond.
+    fn has_workers_in(&self, zone: u32) -> bool {
+        self.available.iter().any(|worker| worker.zone == zone)
+    }
+}
+
 impl Core {
     /// Handles the outcome of a scale-out request, which may be that no response arrived.
     pub(crate) fn handle_scale_out_result(&mut self, request: &str, outcome: ScaleOutOutcome) {
@@ -127,6 +132,7 @@
         }
         let worker = BootingWorker {
             instance_type: pool.instance_type,
+            zone: pool.zone,
             since: self.now,
             spot: pool.spot,
         };
@@ -221,7 +227,7 @@
             remaining = worker.pack_tasks(&needs, remaining);
         }
         while remaining > 0 && plan.allowed > 0 {
-            let Some(pool) = self.cheapest_pool(job_index, &plan.wanted) else {
+            let Some(pool) = self.cheapest_pool(job_index, plan) else {
                 break;
             };
             let Some(instance_type) = self.types.get(pool.instance_type) else {
@@ -231,6 +237,7 @@
             plan.allowed -= 1;
             let mut worker = AvailableWorker {
                 instance_type: pool.instance_type,
+                zone: pool.zone,
                 spot: pool.spot,
                 free: instance_type.capacity,
             };
@@ -287,67 +294,82 @@
             })
             .map(|(worker_index, worker)| AvailableWorker {
                 instance_type: worker.instance_type,
+                zone: worker.zone,
                 spot: worker.spot,
                 free: self.free_resources(worker_index),
             })
             .collect()
     }
 
-    /// Returns the pool in which a task of the job costs least. Among pools of equal cost, the one
-    /// with the fewest planned workers is chosen, which spreads workers over the zones.
-    fn cheapest_pool(
-        &self,
-        job_index: u32,
-        wanted: &BTreeMap<CapacityPool, u32>,
-    ) -> Option<CapacityPool> {
+    /// Returns the pool to request a worker from for a task of the job. Zones that are certainly
+    /// reachable come first, then the pool in which the task costs least. Among pools of equal cost,
+    /// the one with the fewest planned workers is chosen, which spreads workers over the zones.
+    fn cheapest_pool(&self, job_index: u32, plan: &ScaleOutPlan) -> Option<CapacityPool> {
+        let rank = |pool: &CapacityPool| {
+            let unknown = self.zone_health(pool.zone) == ZoneHealth::Unknown;
+            let cost = self.task_cost(job_index, *pool);
+            let planned = plan.wanted.get(pool).copied().unwrap_or(0);
+            (unknown, cost, planned)
+        };
+        self.pools_for(job_index)
+            .into_iter()
+            .filter(|pool| self.may_request(*pool, plan))
+            .map(|pool| (rank(&pool), pool))
+            .min_by(|(a, _), (b, _)| a.partial_cmp(b).expect("prices are finite"))
+            .map(|(_, pool)| pool)
+    }
+
+    /// Returns the pools whose workers a task of the job fits on and may run on.
+    fn pools_for(&self, job_index: u32) -> Vec<CapacityPool> {
         let job = &self.jobs[job_index];
-        let mut best: Option<((f64, u32), CapacityPool)> = None;
+        let mut pools = Vec::new();
         for (instance_type, described) in (0u32..).zip(&self.types.descriptions) {
             let Some(described) = described else { continue };
-            let allowed = job
-                .types
-                .as_ref()
-                .is_none_or(|types| types.contains(&instance_type));
-            if !allowed || !job.spec.needs.fits_in(&described.capacity) {
+            if !job.allows_type(instance_type) || !job.spec.needs.fits_in(&described.capacity) {
                 continue;
             }
-            let share = job.spec.needs.dominant_share_of(&described.capacity);
             for zone in 0..self.zones.len() as u32 {
                 let offered = described.zones.iter().any(|z| z == self.zones.name(zone));
-                let unresponsive = self.zone_health(zone) == ZoneHealth::Unresponsive;
-                if !offered || unresponsive || !self.job_allows_zone(job_index, zone) {
+                if !offered || !self.job_allows_zone(job_index, zone) {
                     continue;
                 }
-                for spot in [true, false] {
-                    let pool = CapacityPool {
-                        instance_type,
-                        zone,
-                        spot,
-                    };
-                    if !self.may_request(job, pool) {
-                        continue;
-                    }
-                    let price = if spot {
-                        described.spot_price
-                    } else {
-                        described.price
-                    };
-                    let key = (price * share, wanted.get(&pool).copied().unwrap_or(0));
-                    if best.as_ref().is_none_or(|(best_key, _)| key < *best_key) {
-                        best = Some((key, pool));
-                    }
-                }
+                let pool = |spot| CapacityPool {
+                    instance_type,
+                    zone,
+                    spot,
+                };
+                pools.extend(job.spec.spot.then(|| pool(true)));
+                pools.push(pool(false));
             }
         }
-        best.map(|(_, pool)| pool)
+        pools
     }
 
-    /// Returns whether workers of the pool may be requested for the job: it must allow spot workers
-    /// if the pool has them, and the pool must not have lacked capacity or refused a request
-    /// recently.
-    fn may_request(&self, job: &Job, pool: CapacityPool) -> bool {
+    /// Returns the price of the share of a worker of the pool that a task of the job takes.
+    fn task_cost(&self, job_index: u32, pool: CapacityPool) -> f64 {
+        let Some(described) = self.types.get(pool.instance_type) else {
+            return f64::MAX;
+        };
+        let needs = &self.jobs[job_index].spec.needs;
+        let price = if pool.spot {
+            described.spot_price
+        } else {
+            described.price
+        };
+        price * needs.dominant_share_of(&described.capacity)
+    }
+
+    /// Returns whether one more worker of the pool may be requested: the pool must not
+    /// have lacked capacity or refused a request recently, and the zone must accept workers.
+    fn may_request(&self, pool: CapacityPool, plan: &ScaleOutPlan) -> bool {
         let avoided_until = &self.provisioning.avoided_until;
-        (!pool.spot || job.spec.spot) && !avoided_until.contains_key(&pool)
+        !avoided_until.contains_key(&pool)
+            && match self.zone_health(pool.zone) {
+                ZoneHealth::Responsive => true,
+                ZoneHealth::Unresponsive => false,
+                // One worker at a time, until one of them shows that the zone is reachable.
+                ZoneHealth::Unknown => !plan.has_workers_in(pool.zone),
+            }
     }
 
     /// Returns whether another task of the job may run in this zone.
--- a/src/coordination/provisioning/zones.rs
+++ b/src/coordination/provisioning/zones.rs
@@ -1,5 +1,9 @@
 //! Health of the zones, judged by the heartbeats of their workers. No workers are requested in a
 //! zone that is likely to be partitioned.
+//!
+//! A silent worker is evidence of a partition only while its lease may be valid. After that its
+//! tasks are gone, so they wait for other workers, and the worker itself may be gone for good. If no
+//! other worker of the zone is left, one is requested there to find out whether it is reachable.
 
 use crate::coordination::state::Core;
 
@@ -8,21 +12,28 @@
 pub(super) enum ZoneHealth {
     /// Most of its workers respond, or none is known.
     Responsive,
-    /// Most of its workers are unresponsive. New workers would be unresponsive too.
+    /// Most of its workers are unresponsive, and their leases have not expired. New workers would
+    /// be unresponsive too.
     Unresponsive,
+    /// The leases of all its workers have expired. It is partitioned, or they are gone.
+    Unknown,
 }
 
-/// The workers of a zone, counted by whether they respond.
+/// The workers of a zone that have sent a heartbeat.
 #[derive(Debug, Clone, Copy, Default)]
 struct ZoneCounts {
     responsive: u32,
     unresponsive: u32,
+    /// Workers whose lease has expired since.
+    expired: u32,
 }
 
 impl ZoneCounts {
     fn health(self) -> ZoneHealth {
         if self.unresponsive > self.responsive {
             ZoneHealth::Unresponsive
+        } else if self.responsive == 0 && self.expired > 0 {
+            ZoneHealth::Unknown
         } else {
             ZoneHealth::Responsive
         }
@@ -43,6 +54,7 @@
                     ?health,
                     responsive = counts.responsive,
                     unresponsive = counts.unresponsive,
+                    expired = counts.expired,
                     "zone health changed"
                 );
             }
@@ -63,7 +75,9 @@
                 continue;
             }
             let counts = &mut zones[worker.zone as usize];
-            if self.is_unresponsive(worker_index) {
+            if !worker.may_be_alive() {
+                counts.expired += 1;
+            } else if self.is_unresponsive(worker_index) {
                 counts.unresponsive += 1;
             } else {
                 counts.responsive += 1;
--- a/src/coordination/start_conditions.rs
+++ b/src/coordination/start_conditions.rs
@@ -74,10 +74,7 @@
         let worker = &self.workers[worker_index];
         (!worker.spot || job.spec.spot)
             && job.zone.is_none_or(|zone| zone == worker.zone)
-            && job
-                .types
-                .as_ref()
-                .is_none_or(|list| list.contains(&worker.instance_type))
+            && job.allows_type(worker.instance_type)
     }
 
     /// The time without a heartbeat after which a worker is unresponsive and nothing new is sent to
--- a/tests/small_fleets.rs
+++ b/tests/small_fleets.rs
@@ -174,3 +174,99 @@
         assert!(terms_s[1] < 2.0 * LEASE_S + 2.0, "seed {seed}: {terms_s:?}");
     }
 }
+/// Guards against a zone that is taken for unreachable because the machines that it had are gone.
+#[test]
+fn a_job_bound_to_a_zone_runs_again_after_the_zone_lost_its_workers() {
+    let fleet = [
+        ("small", "b", true),
+        ("small", "a", true),
+        ("small", "a", true),
+        ("small", "a", true),
+    ];
+    let bound = json!({"region": "b"});
+    for seed in 0..4 {
+        for fault in [
+            Fault::TakeAllWorkers("b"),
+            Fault::KillWorker(1),
+            Fault::HangAllWorkers("b", 200.0),
+        ] {
+            let recovery = lose_workers(seed, &fleet, bound.clone(), |_| (), &[(0.0, fault)]);
+            recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {fault:?}"));
+        }
+    }
+}
+
+/// A zone that is partitioned for longer than a lease. A job bound to it needs four workers. None is
+/// requested while its tasks may still run there, then one at a time: the next one when a boot is
+/// overdue, and one that does not boot is returned.
+#[test]
+fn a_partitioned_zone_gets_one_worker_at_a_time() {
+    const PARTITION_S: f64 = 60.0;
+    const MAX_UNBOOTED: usize = 3;
+    let mut fleet = vec![("small", "a", false); 4];
+    fleet.extend([("small", "b", false); 4]);
+    for seed in 0..2 {
+        let fleet = &fleet;
+        let (first_at, most, phase) = simulate(async move {
+            let cluster = start_fleet(seed, fleet, |_| ());
+            tokio::spawn(simulate_workers(cluster.clone()));
+            let body = job(1, "sweep", 8, json!({"region": "b"}));
+            let user = simulate_user(cluster.clone(), JOB.into(), body, RUNTIME_S, 2.0, None);
+            tokio::spawn(user);
+            let fault = Fault::PartitionZone(PARTITION_S);
+            tokio::spawn(inject_fault(cluster.clone(), LOST_AT_S, fault, seed));
+            let (mut first_at, mut most) = (None, 0);
+            while cluster.lock().unwrap().now() < LOST_AT_S + PARTITION_S {
+                sleep(Duration::from_millis(200)).await;
+                let requested = cluster.lock().unwrap().site.workers.len() - fleet.len();
+                if requested > 0 {
+                    first_at.get_or_insert(cluster.lock().unwrap().now());
+                }
+                most = most.max(requested);
+            }
+            sleep(Duration::from_secs_f64(2.0 * RUNTIME_S)).await;
+            let phase = cluster.lock().unwrap().site.jobs[JOB].reported_phase;
+            (first_at, most, phase)
+        });
+        let context = format!("seed {seed}: {most} workers, the first at {first_at:?} s");
+        let expired_at = LOST_AT_S + LEASE_S;
+        assert!(first_at.is_some_and(|at| at > expired_at), "{context}");
+        assert!(most <= MAX_UNBOOTED, "{context}");
+        assert_eq!(phase, Some("done"), "{context}");
+    }
+}
+
+/// Guards against a job that may run in any zone and is kept from all, because each has lost its
+/// workers.
+#[test]
+fn a_job_runs_again_after_every_zone_lost_its_workers() {
+    let fleet = [("small", "a", true), ("small", "b", true)];
+    for seed in 0..4 {
+        for fault in [
+            Fault::TakeAllWorkers("*"),
+            Fault::HangAllWorkers("*", 200.0),
+        ] {
+            let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &[(0.0, fault)]);
+            recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {fault:?}"));
+        }
+    }
+}
+
+/// The leader crashes just before or some time after the loss, so the next leader never hears the
+/// lost workers.
+#[test]
+fn a_job_runs_again_under_a_leader_that_never_heard_the_lost_workers() {
+    let fleet = [("small", "a", true), ("small", "b", true)];
+    for seed in 0..4 {
+        for crash_at in [-0.2, 1.0, 5.0, 12.0] {
+            for fault in [
+                Fault::TakeAllWorkers("*"),
+                Fault::HangAllWorkers("*", 200.0),
+            ] {
+                let faults = [(crash_at, Fault::RestartLeaders(1, 0.5)), (0.0, fault)];
+                let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &faults);
+                recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {faults:?}"));
+            }
+        }
+    }
+}
