Return lost workers, which counted towards the maximum fleet for a whole term

What callers saw: with fleet_max reached, an accepted job never ran again after its worker was taken back without notice, or hung for good.

A worker that is taken without notice stays in the table while this leader leads; it counts towards fleet_max, and nobody is requested in its place.

Change: provisioning/lost_workers.rs. A silent worker that the cloud's list omits is returned, if the list was requested at least twice its usual age (cloud.list_lag_s) after the worker was known: by the protocol it is gone then, and the cloud's answer proves it, so its tasks also start elsewhere before the lease has expired. If jobs wait and the fleet has its maximum size, a worker that is silent since its lease expired is returned too.

--- a/crates/simulation/src/core_harness.rs
+++ b/crates/simulation/src/core_harness.rs
@@ -9,7 +9,7 @@
 use std::time::Instant;
 
 use copperfield::coordination::core::{
-    CancelDecision, CommandOutcome, Config, Core, Effect, Input, ScaleOutOutcome,
+    CancelDecision, CommandOutcome, Config, Core, Effect, Input, ScaleOutOutcome, WorkerList,
 };
 use copperfield::settings::{Cluster, Tuning};
 use copperfield::storage::writer::{Write, WriteOutcome};
@@ -705,8 +705,12 @@
                 self.scheduled_inputs.push((now + 0.1, input));
             }
             Effect::ListWorkers => {
-                let input = Input::WorkerList(self.list_workers());
-                self.scheduled_inputs.push((now + 0.1, input));
+                let list = WorkerList {
+                    requested_at: now,
+                    workers: self.list_workers(),
+                };
+                self.scheduled_inputs
+                    .push((now + 0.1, Input::WorkerList(list)));
             }
             _ => {}
         }
--- a/src/controller/effects/cloud.rs
+++ b/src/controller/effects/cloud.rs
@@ -6,7 +6,7 @@
 use hyper::Method;
 
 use crate::controller::context::ControllerContext;
-use crate::coordination::core::{Input, ScaleOutOutcome};
+use crate::coordination::core::{Input, ScaleOutOutcome, WorkerList};
 use crate::protocol::cloud::{self, ListedWorker, MachineType, WorkerPage};
 use crate::transport::client::{CallError, HttpResponse};
 use crate::transport::rate_limiter::Urgency;
@@ -112,7 +112,16 @@
 }
 
 /// Reads all pages of the cloud's worker list. Returns `None` if a page cannot be read.
-pub(super) async fn list_workers(context: &ControllerContext) -> Option<Vec<ListedWorker>> {
+pub(super) async fn list_workers(context: &ControllerContext) -> Option<WorkerList> {
+    let requested_at = context.now_s();
+    let workers = read_worker_pages(context).await?;
+    Some(WorkerList {
+        requested_at,
+        workers,
+    })
+}
+
+async fn read_worker_pages(context: &ControllerContext) -> Option<Vec<ListedWorker>> {
     let mut all: Vec<ListedWorker> = Vec::new();
     loop {
         context
--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -56,7 +56,7 @@
     /// The cloud described its machine types.
     MachineTypes(Vec<MachineType>),
     /// The cloud listed its workers.
-    WorkerList(Vec<ListedWorker>),
+    WorkerList(WorkerList),
     /// A scale-out request ended.
     ScaledOut {
         request: String,
@@ -66,6 +66,15 @@
     ScaledIn { workers: Vec<String>, ok: bool },
 }
 
+/// The cloud's list of workers.
+#[derive(Debug)]
+pub struct WorkerList {
+    /// When the first page of the list was requested, on the core's clock.
+    pub requested_at: f64,
+    /// The workers in the list.
+    pub workers: Vec<ListedWorker>,
+}
+
 /// Result of a scale-out request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ScaleOutOutcome {
--- a/src/coordination/model/worker.rs
+++ b/src/coordination/model/worker.rs
@@ -136,6 +136,11 @@
     pub scaling_in: bool,
     /// An operator is draining it, so nothing new is started on it.
     pub draining: bool,
+    /// When this leader learned of it, which is no earlier than it was provisioned.
+    pub known_since: Time,
+    /// The cloud's newest list omits it although it describes a later time than `known_since`, so
+    /// the worker no longer exists.
+    pub unlisted: bool,
     /// Since when it has held no task instance.
     pub idle_since: Option<Time>,
     /// No direct message is sent to it before this time.
@@ -194,6 +199,8 @@
             quarantine_count: 0,
             scaling_in: false,
             draining: false,
+            known_since: 0.0,
+            unlisted: false,
             idle_since: None,
             next_message_at: 0.0,
             commands_unanswered: false,
--- a/src/coordination/provisioning/mod.rs
+++ b/src/coordination/provisioning/mod.rs
@@ -5,11 +5,13 @@
 //! to the cloud.
 //!
 //! `scale_out` and `scale_in` send requests and handle their results, `boots` estimates boot times,
-//! `unresponsive` releases workers that this leader cannot reach, `recent_heartbeats` tells which
+//! `unresponsive` releases workers that this leader cannot reach, `lost_workers` those that no longer
+//! exist, `recent_heartbeats` tells which
 //! zones are reachable, `zones` where new workers can be expected to be reachable, and `quarantine`
 //! distinguishes faulty workers from faulty jobs.
 
 mod boots;
+mod lost_workers;
 mod quarantine;
 mod recent_heartbeats;
 mod scale_in;
@@ -21,7 +23,7 @@
 
 use crate::protocol::cloud::ListedWorker;
 
-use super::messages::Effect;
+use super::messages::{Effect, WorkerList};
 use super::model::*;
 use super::state::Core;
 
@@ -97,13 +99,15 @@
             self.effects.push(Effect::ListWorkers);
         }
         self.scale_out();
+        self.release_lost_workers();
         self.scale_in();
     }
 
     /// Handles the cloud's list of workers.
-    pub(super) fn handle_worker_list(&mut self, list: Vec<ListedWorker>) {
+    pub(super) fn handle_worker_list(&mut self, list: WorkerList) {
         self.provisioning.workers_listed = true;
-        for entry in list {
+        self.record_unlisted_workers(&list);
+        for entry in list.workers {
             if self.workers.is_scaled_in(&entry.name) {
                 continue;
             }
--- a/src/coordination/provisioning/scale_out.rs
+++ b/src/coordination/provisioning/scale_out.rs
@@ -182,6 +182,18 @@
         limit.saturating_sub(present).min(MAX_WORKERS_PER_REQUEST)
     }
 
+    /// Returns whether the configured maximum allows no further worker.
+    pub(super) fn is_at_maximum_size(&self) -> bool {
+        self.allowed_workers() == 0
+    }
+
+    /// Returns whether tasks of any job have been unplaced for long enough to request workers.
+    pub(super) fn any_job_needs_workers(&self) -> bool {
+        self.jobs
+            .iter()
+            .any(|(_, job)| job.state == JobState::Live && self.needs_workers(job))
+    }
+
     /// Returns whether tasks of a job have been unplaced for long enough to request workers.
     fn needs_workers(&self, job: &Job) -> bool {
         job.waiting() > 0
--- a/src/coordination/provisioning/unresponsive.rs
+++ b/src/coordination/provisioning/unresponsive.rs
@@ -36,10 +36,17 @@
 
 /// Why a worker is released.
 #[derive(Debug, Clone, Copy)]
-enum ReleaseReason {
+pub(super) enum ReleaseReason {
+    /// It is overdue and answers nothing, and it may run replicas.
     Unresponsive,
+    /// It has not answered a new leader.
     Unreconciled,
+    /// Its heartbeats arrive, and it receives no responses.
     OneWayPartitioned,
+    /// The cloud no longer lists it.
+    Unlisted,
+    /// It is silent since its lease expired, and the fleet has its maximum size.
+    Expired,
 }
 
 impl fmt::Display for ReleaseReason {
@@ -48,6 +55,8 @@
             Self::Unresponsive => "unresponsive",
             Self::Unreconciled => "unreconciled",
             Self::OneWayPartitioned => "one-way partitioned",
+            Self::Unlisted => "unlisted",
+            Self::Expired => "expired",
         })
     }
 }
@@ -266,7 +275,7 @@
 
     /// Logs the workers released in one step. A single worker is logged by name; several are logged
     /// as a count, and by name at debug level.
-    fn log_released(&self, reason: ReleaseReason, released: &[u32]) {
+    pub(super) fn log_released(&self, reason: ReleaseReason, released: &[u32]) {
         if let [worker_index] = released {
             let worker = &self.workers[*worker_index].name;
             tracing::warn!(worker, "{reason} worker released");
--- a/src/coordination/reconciliation/heartbeats.rs
+++ b/src/coordination/reconciliation/heartbeats.rs
@@ -26,6 +26,7 @@
         let mut worker = Worker::new(name, address, instance_type, zone, spot);
         worker.fenced = self.fencing.is_fenced(name);
         worker.draining = self.drains.contains_key(name);
+        worker.known_since = self.now;
         let index = self.workers.insert(worker);
         self.add_worker_to_shards(index);
         index
--- a/src/coordination/reconciliation/leases.rs
+++ b/src/coordination/reconciliation/leases.rs
@@ -57,7 +57,7 @@
 
     /// Whether a worker may hold tasks under a lease: of this leader, or, if this leader has not
     /// heard it, of an earlier one that registered it.
-    fn may_hold_lease(worker: &Worker) -> bool {
+    pub(crate) fn may_hold_lease(worker: &Worker) -> bool {
         let unheard = worker.incarnation == 0;
         worker.may_be_alive() || (unheard && worker.page.is_some())
     }
--- a/tests/bare_core/mod.rs
+++ b/tests/bare_core/mod.rs
@@ -8,6 +8,8 @@
 use serde_json::{Value, json};
 
 pub const TOKEN: u64 = 50;
+/// Usual age of the cloud's list of workers, in seconds.
+pub const LIST_LAG_S: f64 = 5.0;
 const ADDRESS: &str = "10.1.0.1:9000";
 const INSTANCE_TYPE: &str = "small";
 
@@ -41,7 +43,7 @@
 fn cluster(zones: &[&str], team: Value) -> Cluster {
     let cluster = json!({"zones": zones, "teams": [team], "objectives": [],
         "workers": {"report_s": 5.0, "lease_s": 25.0, "gang_wait_s": 30.0, "gang_peer_s": 4.0, "cancel_s": 40.0},
-        "state": {"rps": 200, "write_rps": 50, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 5},
+        "state": {"rps": 200, "write_rps": 50, "value_kb": 8, "txn_ops": 12}, "cloud": {"rps": 5, "list_lag_s": LIST_LAG_S},
         "limits": {"max_sockets": 3000}});
     serde_json::from_value(cluster).expect("valid")
 }
--- a/tests/small_fleets.rs
+++ b/tests/small_fleets.rs
@@ -94,6 +94,10 @@
     leader_key(cluster).and_then(|key| key["stamp"].as_u64())
 }
 
+fn with_one_worker(tuning: &mut Tuning) {
+    tuning.fleet_max = 1;
+}
+
 fn without_sharding(tuning: &mut Tuning) {
     tuning.sharding = Switch::Off;
 }
@@ -270,3 +274,21 @@
         }
     }
 }
+
+/// Guards against lost workers that count towards the maximum size of the fleet for as long as the
+/// leader leads, so that no worker is requested in their place.
+#[test]
+fn a_job_runs_again_after_a_fleet_of_maximum_size_was_lost() {
+    let fleet = [("small", "a", true)];
+    for seed in 0..4 {
+        for fault in [
+            Fault::TakeAllWorkers("*"),
+            Fault::KillWorker(1),
+            Fault::HangAllWorkers("*", 200.0),
+        ] {
+            let faults = [(0.0, fault)];
+            let recovery = lose_workers(seed, &fleet, json!({}), with_one_worker, &faults);
+            recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {fault:?}"));
+        }
+    }
+}
