Plan tasks only on booting workers in zones where they may run and are reachable

What callers saw: a job bound to a zone waits for a worker that boots in another zone; none is requested in its own zone until that one is up or overdue, and again with each next one that boots.

Cause: the plan for scaling out checks type and kind of a booting worker, not its zone. With a worker that boots in a zone that does not respond, jobs that could run elsewhere would wait for it, too.

Test: a_worker_that_boots_elsewhere_does_not_delay_a_job_bound_to_a_zone failed before (only a worker in zone a was requested) and passes. wire_fingerprint keeps all hashes.

--- a/src/coordination/provisioning/scale_out.rs
+++ b/src/coordination/provisioning/scale_out.rs
@@ -231,12 +231,10 @@
             .min(MAX_TASKS_PER_JOB)
             .min(self.trial_start_limit(job_index));
         remaining += at_risk.get(&job_index).copied().unwrap_or(0);
-        for worker in plan
-            .available
-            .iter_mut()
-            .filter(|worker| worker.allowed_for(job))
-        {
-            remaining = worker.pack_tasks(&needs, remaining);
+        for worker in &mut plan.available {
+            if self.can_plan_on(job_index, worker) {
+                remaining = worker.pack_tasks(&needs, remaining);
+            }
         }
         while remaining > 0 && plan.allowed > 0 {
             let Some(pool) = self.cheapest_pool(job_index, plan) else {
@@ -258,6 +256,14 @@
         }
     }
 
+    /// Returns whether tasks of a job can be planned on an available worker. A worker that boots in
+    /// an unresponsive zone may never be reachable.
+    fn can_plan_on(&self, job_index: u32, worker: &AvailableWorker) -> bool {
+        worker.allowed_for(&self.jobs[job_index])
+            && self.zone_health(worker.zone) == ZoneHealth::Responsive
+            && self.job_allows_zone(job_index, worker.zone)
+    }
+
     fn request_workers(&mut self, pool: CapacityPool, count: u32) {
         let provisioning = &mut self.provisioning;
         provisioning.last_request += 1;
--- a/tests/small_fleets.rs
+++ b/tests/small_fleets.rs
@@ -292,3 +292,34 @@
         }
     }
 }
+
+/// Guards against a job bound to a zone that waits for a worker that boots in another zone.
+#[test]
+fn a_worker_that_boots_elsewhere_does_not_delay_a_job_bound_to_a_zone() {
+    const BOOT_S: f64 = 20.0;
+    let requested_zones = simulate(async {
+        let cluster = start_fleet(1, &[], |_| ());
+        cluster.lock().unwrap().site.boot_s = BOOT_S;
+        tokio::spawn(simulate_workers(cluster.clone()));
+        for (id, at, fields) in [
+            (1, 2.0, json!({"region": "a"})),
+            (3, 5.0, json!({"region": "b"})),
+        ] {
+            let body = job(id, "sweep", 1, fields);
+            let id = format!("wk-{id:06}");
+            tokio::spawn(simulate_user(
+                cluster.clone(),
+                id,
+                body,
+                RUNTIME_S,
+                at,
+                None,
+            ));
+        }
+        sleep(Duration::from_secs_f64(2.0 + BOOT_S / 2.0)).await;
+        let w = cluster.lock().unwrap();
+        let zones: Vec<String> = w.site.workers.values().map(|w| w.zone.clone()).collect();
+        zones
+    });
+    assert_eq!(requested_zones, ["a", "b"]);
+}
