--- a/tests/compound_failures_random.rs
+++ b/tests/compound_failures_random.rs
@@ -9,9 +9,11 @@
 
 use std::collections::BTreeMap;
 
+use copperfield::settings::{Switch, Tuning};
+use copperfield_simulation::cluster::LEASE_S;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use simulated_cluster::*;
 
@@ -183,6 +185,108 @@
     check_run(seed, &faults, run)
 }
 
+/// Number of runs with small fleets by default.
+const SMALL_FLEET_RUNS: u64 = 60;
+/// The longest time in seconds until jobs run again after their workers were lost, as operators
+/// allow it.
+const LOSS_RECOVERY_S: f64 = 90.0;
+/// How long workers hang that do not return within a run, in seconds.
+const HANG_FOREVER_S: f64 = 1e4;
+
+/// A site with few workers, its jobs and the faults that meet it.
+#[derive(Debug)]
+struct SmallFleet {
+    workers: Vec<FleetWorker>,
+    sharding: Switch,
+    /// Length of the worker leases, in seconds.
+    lease_s: f64,
+    /// The number, the time of submission and the body of each job.
+    jobs: Vec<(usize, f64, Value)>,
+    faults: Vec<(f64, Fault)>,
+}
+
+/// Draws the loss of workers: single ones, those of a zone, or all. The cloud takes only spot
+/// workers.
+fn draw_loss(rng: &mut StdRng, fleet: &[FleetWorker]) -> Fault {
+    let worker = rng.random_range(1..=fleet.len());
+    let zone = ["a", "b", "*"][rng.random_range(0..3)];
+    let hang_s = if rng.random() {
+        HANG_FOREVER_S
+    } else {
+        rng.random_range(1.0..30.0)
+    };
+    match rng.random_range(0..5) {
+        0 | 1 => Fault::TakeAllSpotWorkers(zone),
+        2 if fleet[worker - 1].2 => Fault::TakeWorker(worker),
+        2 | 3 => Fault::KillWorker(worker),
+        _ => Fault::HangAllWorkers(zone, hang_s),
+    }
+}
+
+fn draw_small_fleet(seed: u64) -> SmallFleet {
+    let rng = &mut StdRng::seed_from_u64(seed);
+    let worker = |rng: &mut StdRng| {
+        let zone = ["a", "b"][rng.random_range(0..2)];
+        ("small", zone, rng.random_bool(0.7))
+    };
+    let workers: Vec<FleetWorker> = (0..rng.random_range(1..5)).map(|_| worker(rng)).collect();
+    let at = FIRST_FAULT_S + rng.random_range(0.0..6.0);
+    let mut faults = vec![(at, draw_loss(rng, &workers))];
+    for _ in 0..rng.random_range(0..3) {
+        let at = at + rng.random_range(-3.0..10.0);
+        let fault = if rng.random() {
+            draw_loss(rng, &workers)
+        } else {
+            draw_fault(rng)
+        };
+        faults.push((at, fault));
+    }
+    let mut jobs = Vec::new();
+    for number in [1, 3, 4, 5] {
+        let region = [None, Some("a"), Some("b")][rng.random_range(0..3)];
+        let shape = ["sweep", "sweep", "group"][rng.random_range(0..3)];
+        let fields = json!({"preemptibles": rng.random_bool(0.8), "region": region, "cpus": 1.0,
+            "one_zone": shape == "group"});
+        let body = job(number, shape, rng.random_range(1..5), fields);
+        jobs.push((number, rng.random_range(1.0..8.0), body));
+    }
+    // Without sharding there may be too few messages between controllers to lose one.
+    let loses_peer_message =
+        |(_, fault): &(f64, Fault)| matches!(fault, Fault::LosePeerMessage(..));
+    let sharding = if rng.random_bool(0.8) || faults.iter().any(loses_peer_message) {
+        Switch::On
+    } else {
+        Switch::Off
+    };
+    SmallFleet {
+        workers,
+        sharding,
+        lease_s: rng.random_range(LEASE_S..LONG_LEASE_S),
+        jobs,
+        faults,
+    }
+}
+
+/// Runs one simulation of a small fleet that loses workers.
+fn check_small_fleet(seed: u64) -> Result<(), String> {
+    let drawn = draw_small_fleet(seed);
+    let tune: fn(&mut Tuning) = match drawn.sharding {
+        Switch::On => |_| (),
+        Switch::Off => |tuning| tuning.sharding = Switch::Off,
+    };
+    let until = FAULTS_END_S + LOSS_RECOVERY_S + RECOVERY_S;
+    let run = simulate(async {
+        let cluster = start_fleet_with_leases(seed, &drawn.workers, tune, drawn.lease_s);
+        for (number, at, body) in drawn.jobs.clone() {
+            let id = format!("wk-{number:06}");
+            tokio::spawn(simulate_user(cluster.clone(), id, body, 12.0, at, None));
+        }
+        let (violations, _, phases) = run_scenario_on(cluster, seed, &drawn.faults, until, 0).await;
+        (violations, phases)
+    });
+    check_run(seed, &drawn.faults, run).map_err(|error| format!("{error}, {drawn:?}"))
+}
+
 /// The seeds that the environment variables request, or the first `default_count` ones.
 fn requested_seeds(default_count: u64) -> std::ops::Range<u64> {
     let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
@@ -224,3 +328,15 @@
         failed.len()
     );
 }
+
+#[test]
+fn drawn_losses_in_small_fleets_violate_no_rule() {
+    let failed: Vec<String> = requested_seeds(SMALL_FLEET_RUNS)
+        .filter_map(|seed| check_small_fleet(seed).err())
+        .collect();
+    assert!(
+        failed.is_empty(),
+        "{} runs failed: {failed:#?}",
+        failed.len()
+    );
+}
--- a/tests/simulated_cluster/faults.rs
+++ b/tests/simulated_cluster/faults.rs
@@ -77,8 +77,8 @@
     KillWorker(usize),
     /// The cloud takes a spot worker back without notice.
     TakeWorker(usize),
-    /// The cloud takes back all workers that are up, in the named zone or, if it is "*", in all.
-    TakeAllWorkers(&'static str),
+    /// The cloud takes back all spot workers that are up, in the named zone or, if it is "*", in all.
+    TakeAllSpotWorkers(&'static str),
     /// All workers that are up in the named zone hang.
     HangAllWorkers(&'static str, f64),
     /// The heartbeats of a worker reach no controller, while direct messages reach the worker.
@@ -336,9 +336,12 @@
             let site = &mut cluster.lock().unwrap().site;
             site.remove_worker(&format!("vm-{i:06}"));
         }
-        Fault::TakeAllWorkers(zone) => {
+        Fault::TakeAllSpotWorkers(zone) => {
             for name in running_workers(&cluster, zone) {
-                cluster.lock().unwrap().site.remove_worker(&name);
+                let site = &mut cluster.lock().unwrap().site;
+                if site.workers[&name].spot {
+                    site.remove_worker(&name);
+                }
             }
         }
         Fault::HangAllWorkers(zone, s) => {
--- a/tests/simulated_cluster/scenario.rs
+++ b/tests/simulated_cluster/scenario.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use copperfield::settings::{Switch, Tuning};
-use copperfield_simulation::cluster::Site;
+use copperfield_simulation::cluster::{LEASE_S, Site};
 use copperfield_simulation::state_service::StateService;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -101,8 +101,20 @@
 
 /// Starts a cluster with this fleet instead of the default one. The cloud's list of workers lags.
 pub fn start_fleet(seed: u64, fleet: &[FleetWorker], tune: fn(&mut Tuning)) -> SharedCluster {
+    start_fleet_with_leases(seed, fleet, tune, LEASE_S)
+}
+
+/// Starts the cluster of [`start_fleet`] with worker leases of the given length in seconds.
+pub fn start_fleet_with_leases(
+    seed: u64,
+    fleet: &[FleetWorker],
+    tune: fn(&mut Tuning),
+    lease_s: f64,
+) -> SharedCluster {
     let mut site = Site::default();
     site.list_lag_s = LIST_LAG_S;
+    site.lease_s = lease_s;
+    site.cancel_s = lease_s + LONG_LEASE_SLACK_S;
     start_fleet_on(seed, 0.0, 0.0, tune, site, fleet)
 }
 
--- a/tests/small_fleets.rs
+++ b/tests/small_fleets.rs
@@ -107,7 +107,7 @@
 #[test]
 fn a_job_runs_again_after_the_last_worker_was_taken() {
     let fleet = [("small", "a", true)];
-    let taken = (0.0, Fault::TakeAllWorkers("*"));
+    let taken = (0.0, Fault::TakeAllSpotWorkers("*"));
     for seed in 0..4 {
         let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &[taken]);
         recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}"));
@@ -121,7 +121,7 @@
 #[test]
 fn leaders_that_hear_no_worker_resign_once_each() {
     let fleet = [("small", "a", true)];
-    let taken = (0.0, Fault::TakeAllWorkers("*"));
+    let taken = (0.0, Fault::TakeAllSpotWorkers("*"));
     let follower_down = (-1.0, Fault::StopFollower);
     for seed in 0..4 {
         for (tune, faults) in [
@@ -190,7 +190,7 @@
     let bound = json!({"region": "b"});
     for seed in 0..4 {
         for fault in [
-            Fault::TakeAllWorkers("b"),
+            Fault::TakeAllSpotWorkers("b"),
             Fault::KillWorker(1),
             Fault::HangAllWorkers("b", 200.0),
         ] {
@@ -247,7 +247,7 @@
     let fleet = [("small", "a", true), ("small", "b", true)];
     for seed in 0..4 {
         for fault in [
-            Fault::TakeAllWorkers("*"),
+            Fault::TakeAllSpotWorkers("*"),
             Fault::HangAllWorkers("*", 200.0),
         ] {
             let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &[(0.0, fault)]);
@@ -264,7 +264,7 @@
     for seed in 0..4 {
         for crash_at in [-0.2, 1.0, 5.0, 12.0] {
             for fault in [
-                Fault::TakeAllWorkers("*"),
+                Fault::TakeAllSpotWorkers("*"),
                 Fault::HangAllWorkers("*", 200.0),
             ] {
                 let faults = [(crash_at, Fault::RestartLeaders(1, 0.5)), (0.0, fault)];
@@ -282,7 +282,7 @@
     let fleet = [("small", "a", true)];
     for seed in 0..4 {
         for fault in [
-            Fault::TakeAllWorkers("*"),
+            Fault::TakeAllSpotWorkers("*"),
             Fault::KillWorker(1),
             Fault::HangAllWorkers("*", 200.0),
         ] {
