Move the choice of a capacity pool into a module of its own

Change: provisioning/pools.rs has the pools, their cost, their order and which of them accept workers; the tests share the check that a worker returns to use.

--- a/src/coordination/provisioning/mod.rs
+++ b/src/coordination/provisioning/mod.rs
@@ -4,7 +4,7 @@
 //! are idle or do not boot, and workers whose tasks can only be proved gone by returning the worker
 //! to the cloud.
 //!
-//! `scale_out` and `scale_in` send requests and handle their results, `boots` estimates boot times,
+//! `scale_out` and `scale_in` send requests and handle their results, `pools` chooses where, `boots` estimates boot times,
 //! `unresponsive` releases workers that this leader cannot reach, `lost_workers` those that no longer
 //! exist, `recent_heartbeats` tells which
 //! zones are reachable, `zones` where new workers can be expected to be reachable, and `quarantine`
@@ -12,6 +12,7 @@
 
 mod boots;
 mod lost_workers;
+mod pools;
 mod quarantine;
 mod recent_heartbeats;
 mod scale_in;
@@ -28,7 +29,8 @@
 use super::state::Core;
 
 use boots::BootingWorker;
-use scale_out::{CapacityPool, ProvisioningRequest};
+use pools::CapacityPool;
+use scale_out::ProvisioningRequest;
 use zones::ZoneHealth;
 
 /// How often the list of workers is read from the cloud.
--- a/src/coordination/provisioning/scale_out.rs
+++ b/src/coordination/provisioning/scale_out.rs
@@ -9,6 +9,7 @@
 use crate::coordination::state::Core;
 
 use super::boots::BootingWorker;
+use super::pools::CapacityPool;
 use super::zones::ZoneHealth;
 
 /// How long no workers are requested from a pool after the cloud had no capacity in it.
@@ -24,17 +25,6 @@
 /// Waiting tasks of one job that are considered in one scaling round.
 const MAX_TASKS_PER_JOB: u32 = 2000;
 
-/// A capacity pool of the cloud: workers of one instance type in one zone, either spot or not.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct CapacityPool {
-    /// Index of the instance type.
-    instance_type: u32,
-    /// Index of the zone.
-    zone: u32,
-    /// Whether its workers are spot workers, which the cloud may reclaim.
-    spot: bool,
-}
-
 /// A scale-out request without a response yet.
 #[derive(Debug, Clone)]
 pub(super) struct ProvisioningRequest {
@@ -74,14 +64,14 @@
 }
 
 /// The workers to be requested for the jobs planned so far.
-struct ScaleOutPlan {
+pub(super) struct ScaleOutPlan {
     /// How many more workers may be requested.
     allowed: u32,
     /// Workers with free resources: booting ones, planned ones, and existing ones while replicas
     /// are at risk.
     available: Vec<AvailableWorker>,
     /// How many workers to request from each pool.
-    wanted: BTreeMap<CapacityPool, u32>,
+    pub(super) wanted: BTreeMap<CapacityPool, u32>,
 }
 
 /// By index of the service's job, the number of its replicas that need replacements because their
@@ -90,7 +80,7 @@
 
 impl ScaleOutPlan {
     /// Returns whether workers boot or are planned in a zone that does not respond.
-    fn has_workers_in(&self, zone: u32) -> bool {
+    pub(super) fn has_workers_in(&self, zone: u32) -> bool {
         self.available.iter().any(|worker| worker.zone == zone)
     }
 }
@@ -318,83 +308,4 @@
             })
             .collect()
     }
-
-    /// Returns the pool to request a worker from for a task of the job. Zones that are certainly
-    /// reachable come first, then the pool in which the task costs least. Among pools of equal cost,
-    /// the one with the fewest planned workers is chosen, which spreads workers over the zones.
-    fn cheapest_pool(&self, job_index: u32, plan: &ScaleOutPlan) -> Option<CapacityPool> {
-        let rank = |pool: &CapacityPool| {
-            let unknown = self.zone_health(pool.zone) == ZoneHealth::Unknown;
-            let cost = self.task_cost(job_index, *pool);
-            let planned = plan.wanted.get(pool).copied().unwrap_or(0);
-            (unknown, cost, planned)
-        };
-        self.pools_for(job_index)
-            .into_iter()
-            .filter(|pool| self.may_request(*pool, plan))
-            .map(|pool| (rank(&pool), pool))
-            .min_by(|(a, _), (b, _)| a.partial_cmp(b).expect("prices are finite"))
-            .map(|(_, pool)| pool)
-    }
-
-    /// Returns the pools whose workers a task of the job fits on and may run on.
-    fn pools_for(&self, job_index: u32) -> Vec<CapacityPool> {
-        let job = &self.jobs[job_index];
-        let mut pools = Vec::new();
-        for (instance_type, described) in (0u32..).zip(&self.types.descriptions) {
-            let Some(described) = described else { continue };
-            if !job.allows_type(instance_type) || !job.spec.needs.fits_in(&described.capacity) {
-                continue;
-            }
-            for zone in 0..self.zones.len() as u32 {
-                let offered = described.zones.iter().any(|z| z == self.zones.name(zone));
-                if !offered || !self.job_allows_zone(job_index, zone) {
-                    continue;
-                }
-                let pool = |spot| CapacityPool {
-                    instance_type,
-                    zone,
-                    spot,
-                };
-                pools.extend(job.spec.spot.then(|| pool(true)));
-                pools.push(pool(false));
-            }
-        }
-        pools
-    }
-
-    /// Returns the price of the share of a worker of the pool that a task of the job takes.
-    fn task_cost(&self, job_index: u32, pool: CapacityPool) -> f64 {
-        let Some(described) = self.types.get(pool.instance_type) else {
-            return f64::MAX;
-        };
-        let needs = &self.jobs[job_index].spec.needs;
-        let price = if pool.spot {
-            described.spot_price
-        } else {
-            described.price
-        };
-        price * needs.dominant_share_of(&described.capacity)
-    }
-
-    /// Returns whether one more worker of the pool may be requested: the pool must not
-    /// have lacked capacity or refused a request recently, and the zone must accept workers.
-    fn may_request(&self, pool: CapacityPool, plan: &ScaleOutPlan) -> bool {
-        let avoided_until = &self.provisioning.avoided_until;
-        !avoided_until.contains_key(&pool)
-            && match self.zone_health(pool.zone) {
-                ZoneHealth::Responsive => true,
-                ZoneHealth::Unresponsive => false,
-                // One worker at a time, until one of them shows that the zone is reachable.
-                ZoneHealth::Unknown => !plan.has_workers_in(pool.zone),
-            }
-    }
-
-    /// Returns whether another task of the job may run in this zone.
-    fn job_allows_zone(&self, job_index: u32, zone: u32) -> bool {
-        self.jobs[job_index]
-            .zone
-            .is_none_or(|required| required == zone)
-            && self.zone_allows(job_index, zone)
-    }
 }
--- a/tests/behaviours.rs
+++ b/tests/behaviours.rs
@@ -207,6 +207,11 @@
     harness.unreachable.insert("a-small-1".into());
     harness.run(15.0);
     assert_eq!(registered_workers(&harness), ["a-small-0", "a-small-2"]);
+    expect_lost_worker_to_return(harness);
+}
+
+/// Checks that a worker that returns is registered again and used.
+fn expect_lost_worker_to_return(mut harness: CoreHarness) {
     harness.unreachable.clear();
     harness.run(4.0);
     let job = harness.submit(&json!({"uid": "wk-000001", "shards": 12, "memory_gb": 1.0}));
@@ -236,15 +241,7 @@
     harness.fail_over();
     harness.run(18.0);
     assert_eq!(registered_workers(&harness), ["a-small-0", "a-small-2"]);
-    harness.unreachable.clear();
-    harness.run(4.0);
-    let job = harness.submit(&json!({"uid": "wk-000001", "shards": 12, "memory_gb": 1.0}));
-    harness.run(3.0);
-    assert_eq!(
-        tasks_placed(&harness, job),
-        12,
-        "a worker that returns is registered again before it is used"
-    );
+    expect_lost_worker_to_return(harness);
 }
 
 /// A leader that has recovered a job, and a registry of two workers, of which only a-small-0 sends
