Share the code by which simulated faults begin and end

Cause: a dozen faults set a field or add to a set, wait and undo it, each with its own copy; three hang workers with the same closure.

Change: set_for, insert_for, partition and hang_workers do it once.

--- a/tests/simulated_cluster/faults.rs
+++ b/tests/simulated_cluster/faults.rs
@@ -9,8 +9,8 @@
 
 use super::users::{cancel_until_answered, poll_random_job, send_redundant_or_invalid_request};
 use super::{
-    CONTROLLERS, SharedCluster, controller_name, kill_controller, restart_controller,
-    start_controller,
+    CONTROLLERS, SharedCluster, SimulatedCluster, controller_name, kill_controller,
+    restart_controller, start_controller,
 };
 
 /// A fault that a test injects. The last `f64` of a variant is how long the fault lasts in seconds,
@@ -170,22 +170,9 @@
             let now = w.now();
             w.state.recover(now);
         }
-        Fault::HangWorker(i, s) => {
-            let name = format!("vm-{i:06}");
-            let set_hung = |hung: bool| {
-                if let Some(m) = cluster.lock().unwrap().site.workers.get_mut(&name) {
-                    m.hung = hung;
-                }
-            };
-            set_hung(true);
-            wait(s).await;
-            set_hung(false);
-        }
+        Fault::HangWorker(i, s) => hang_workers(&cluster, &[worker_name(i)], s).await,
         Fault::PartitionController(i, to, s) => {
-            let pair = (controller_name(i), to.to_string());
-            cluster.lock().unwrap().partitions.insert(pair.clone());
-            wait(s).await;
-            cluster.lock().unwrap().partitions.remove(&pair);
+            partition(&cluster, &controller_name(i), &[to.into()], s).await;
         }
         Fault::CrashFollower(follower) => {
             let leader_index = await_leader(&cluster).await;
@@ -198,96 +185,67 @@
         Fault::PartitionLeaderFromWorkers(s) => {
             if let Some(leader_index) = leader(&cluster) {
                 let workers = worker_names(&cluster);
-                partition_controller(&cluster, leader_index, &workers, s).await;
+                partition(&cluster, &controller_name(leader_index), &workers, s).await;
             }
         }
         Fault::PartitionLeaderFromWorkersAndPeers(s) => {
             let leader_index = await_leader(&cluster).await;
             let mut others = worker_names(&cluster);
             others.extend(peer_names(leader_index));
-            partition_controller(&cluster, leader_index, &others, s).await;
+            partition(&cluster, &controller_name(leader_index), &others, s).await;
         }
         Fault::PartitionLeaderFromState(s) => {
             let leader_index = await_leader(&cluster).await;
-            partition_controller(&cluster, leader_index, &["state".into()], s).await;
+            partition(
+                &cluster,
+                &controller_name(leader_index),
+                &["state".into()],
+                s,
+            )
+            .await;
         }
         Fault::PartitionLeaderFromStateAndPeers(s) => {
             let leader_index = await_leader(&cluster).await;
             let mut others = peer_names(leader_index);
             others.push("state".into());
-            partition_controller(&cluster, leader_index, &others, s).await;
+            partition(&cluster, &controller_name(leader_index), &others, s).await;
         }
         Fault::RefuseLeader(s) => {
-            let leader_index = await_leader(&cluster).await;
-            cluster
-                .lock()
-                .unwrap()
-                .refused_by_state
-                .insert(controller_name(leader_index));
-            wait(s).await;
-            cluster
-                .lock()
-                .unwrap()
-                .refused_by_state
-                .remove(&controller_name(leader_index));
+            let leader_name = controller_name(await_leader(&cluster).await);
+            insert_for(&cluster, |w| &mut w.refused_by_state, &[leader_name], s).await;
         }
         Fault::LateTransactions(share, s) => {
-            cluster.lock().unwrap().late_transactions = share;
-            wait(s).await;
-            cluster.lock().unwrap().late_transactions = 0.0;
+            set_for(&cluster, |w| &mut w.late_transactions, share, s).await;
         }
         Fault::DuplicateHeartbeats(share, s) => {
-            cluster.lock().unwrap().duplicate_heartbeats = share;
-            wait(s).await;
-            cluster.lock().unwrap().duplicate_heartbeats = 0.0;
+            set_for(&cluster, |w| &mut w.duplicate_heartbeats, share, s).await;
         }
         Fault::LateCommands(share, s) => {
-            cluster.lock().unwrap().late_commands = share;
-            wait(s).await;
-            cluster.lock().unwrap().late_commands = 0.0;
+            set_for(&cluster, |w| &mut w.late_commands, share, s).await;
         }
         Fault::DropMessagesToWorker(i, s) => {
-            let name = format!("vm-{i:06}");
-            cluster.lock().unwrap().inbound_dropped.insert(name.clone());
-            wait(s).await;
-            cluster.lock().unwrap().inbound_dropped.remove(&name);
+            insert_for(&cluster, |w| &mut w.inbound_dropped, &[worker_name(i)], s).await;
         }
         Fault::PartitionWorker(i, s) => {
-            let pair = (format!("vm-{i:06}"), "*".to_string());
-            cluster.lock().unwrap().partitions.insert(pair.clone());
-            wait(s).await;
-            cluster.lock().unwrap().partitions.remove(&pair);
+            partition(&cluster, &worker_name(i), &["*".into()], s).await;
         }
         Fault::DropHeartbeatsFromWorker(i, s) => {
-            let name = format!("vm-{i:06}");
-            cluster
-                .lock()
-                .unwrap()
-                .heartbeats_dropped
-                .insert(name.clone());
-            wait(s).await;
-            cluster.lock().unwrap().heartbeats_dropped.remove(&name);
+            insert_for(
+                &cluster,
+                |w| &mut w.heartbeats_dropped,
+                &[worker_name(i)],
+                s,
+            )
+            .await;
         }
         Fault::LoseTransactionAnswers(share, s) => {
-            cluster.lock().unwrap().lost_transaction_answers = share;
-            wait(s).await;
-            cluster.lock().unwrap().lost_transaction_answers = 0.0;
+            set_for(&cluster, |w| &mut w.lost_transaction_answers, share, s).await;
         }
         Fault::ReplayHeartbeatsToNextLeader(share, s) => {
-            cluster.lock().unwrap().replayed_heartbeats = share;
-            wait(s).await;
-            cluster.lock().unwrap().replayed_heartbeats = 0.0;
-        }
-        Fault::PartitionZone(s) => {
-            cluster.lock().unwrap().zone_partitioned = true;
-            wait(s).await;
-            cluster.lock().unwrap().zone_partitioned = false;
-        }
-        Fault::RequestBursts(s) => {
-            cluster.lock().unwrap().request_bursts = true;
-            wait(s).await;
-            cluster.lock().unwrap().request_bursts = false;
+            set_for(&cluster, |w| &mut w.replayed_heartbeats, share, s).await;
         }
+        Fault::PartitionZone(s) => set_for(&cluster, |w| &mut w.zone_partitioned, true, s).await,
+        Fault::RequestBursts(s) => set_for(&cluster, |w| &mut w.request_bursts, true, s).await,
         Fault::RedundantAndInvalidRequests(s) => {
             for number in 0..(s * 4.0) as u32 {
                 wait(0.25).await;
@@ -298,9 +256,7 @@
             }
         }
         Fault::CancelOnCompletion(share, s) => {
-            cluster.lock().unwrap().cancel_on_completion = share;
-            wait(s).await;
-            cluster.lock().unwrap().cancel_on_completion = 0.0;
+            set_for(&cluster, |w| &mut w.cancel_on_completion, share, s).await;
         }
         Fault::CancelRunningJobs(count, hang_s) => {
             let running = cluster.lock().unwrap().site.running_jobs();
@@ -311,31 +267,16 @@
                     hung_workers.insert(worker);
                 }
             }
-            let set_hung = |hung: bool| {
-                let mut w = cluster.lock().unwrap();
-                for name in &hung_workers {
-                    if let Some(m) = w.site.workers.get_mut(name) {
-                        m.hung = hung;
-                    }
-                }
-            };
-            set_hung(true);
-            wait(hang_s).await;
-            set_hung(false);
+            let hung_workers: Vec<String> = hung_workers.into_iter().collect();
+            hang_workers(&cluster, &hung_workers, hang_s).await;
         }
         Fault::FastWorkerBoot(s) => {
             let usual_boot_s = std::mem::replace(&mut cluster.lock().unwrap().site.boot_s, 0.5);
             wait(s).await;
             cluster.lock().unwrap().site.boot_s = usual_boot_s;
         }
-        Fault::KillWorker(i) => {
-            let site = &mut cluster.lock().unwrap().site;
-            site.crash_worker(&format!("vm-{i:06}"));
-        }
-        Fault::TakeWorker(i) => {
-            let site = &mut cluster.lock().unwrap().site;
-            site.remove_worker(&format!("vm-{i:06}"));
-        }
+        Fault::KillWorker(i) => cluster.lock().unwrap().site.crash_worker(&worker_name(i)),
+        Fault::TakeWorker(i) => cluster.lock().unwrap().site.remove_worker(&worker_name(i)),
         Fault::TakeAllSpotWorkers(zone) => {
             for name in running_workers(&cluster, zone) {
                 let site = &mut cluster.lock().unwrap().site;
@@ -345,35 +286,59 @@
             }
         }
         Fault::HangAllWorkers(zone, s) => {
-            let names = running_workers(&cluster, zone);
-            let set_hung = |hung: bool| {
-                let site = &mut cluster.lock().unwrap().site;
-                for name in &names {
-                    if let Some(m) = site.workers.get_mut(name) {
-                        m.hung = hung;
-                    }
-                }
-            };
-            set_hung(true);
-            wait(s).await;
-            set_hung(false);
+            hang_workers(&cluster, &running_workers(&cluster, zone), s).await;
         }
     }
 }
 
-/// Partitions a controller from the named endpoints.
-async fn partition_controller(
+/// Sets a field of the cluster for the given time, and then resets it.
+async fn set_for<T: Default>(
     cluster: &SharedCluster,
-    controller: usize,
-    endpoints: &[String],
+    field: fn(&mut SimulatedCluster) -> &mut T,
+    value: T,
     duration_s: f64,
 ) {
-    let pair = |endpoint: &String| (controller_name(controller), endpoint.clone());
-    let pairs: Vec<_> = endpoints.iter().map(pair).collect();
-    cluster.lock().unwrap().partitions.extend(pairs.clone());
+    *field(&mut cluster.lock().unwrap()) = value;
     sleep(Duration::from_secs_f64(duration_s)).await;
-    let partitions = &mut cluster.lock().unwrap().partitions;
-    partitions.retain(|pair| !pairs.contains(pair));
+    *field(&mut cluster.lock().unwrap()) = T::default();
+}
+
+/// Adds items to a set of the cluster for the given time.
+async fn insert_for<T: Ord + Clone>(
+    cluster: &SharedCluster,
+    set: fn(&mut SimulatedCluster) -> &mut BTreeSet<T>,
+    items: &[T],
+    duration_s: f64,
+) {
+    set(&mut cluster.lock().unwrap()).extend(items.iter().cloned());
+    sleep(Duration::from_secs_f64(duration_s)).await;
+    set(&mut cluster.lock().unwrap()).retain(|item| !items.contains(item));
+}
+
+/// Partitions an endpoint from others for the given time; "*" stands for all.
+async fn partition(cluster: &SharedCluster, endpoint: &str, others: &[String], duration_s: f64) {
+    let pair = |other: &String| (endpoint.to_string(), other.clone());
+    let pairs: Vec<_> = others.iter().map(pair).collect();
+    insert_for(cluster, |w| &mut w.partitions, &pairs, duration_s).await;
+}
+
+/// Hangs workers for the given time.
+async fn hang_workers(cluster: &SharedCluster, names: &[String], duration_s: f64) {
+    let set_hung = |hung: bool| {
+        let site = &mut cluster.lock().unwrap().site;
+        for name in names {
+            if let Some(worker) = site.workers.get_mut(name) {
+                worker.hung = hung;
+            }
+        }
+    };
+    set_hung(true);
+    sleep(Duration::from_secs_f64(duration_s)).await;
+    set_hung(false);
+}
+
+fn worker_name(number: usize) -> String {
+    format!("vm-{number:06}")
 }
 
 /// The names of all controllers but one.
