Tests of small fleets: one function checks each loss

Cause: five tests repeated the loop over seeds and faults with the same checks.

Change: expect_recovery runs and checks them; bounds, seeds and faults stay. The loss of a fleet of maximum size by a crash stays covered.

--- a/tests/small_fleets.rs
+++ b/tests/small_fleets.rs
@@ -17,9 +17,15 @@
 const MAX_RECOVERY_S: f64 = 90.0;
 /// How long a task runs, in seconds.
 const RUNTIME_S: f64 = 30.0;
+/// Spot workers in the two zones.
+const SPOT_A: FleetWorker = ("small", "a", true);
+const SPOT_B: FleetWorker = ("small", "b", true);
 /// The id of the job in each run.
 const JOB: &str = "wk-000001";
 
+/// The number of seeds with which each loss is simulated.
+const SEEDS: u64 = 4;
+
 /// What happened after the workers were lost.
 #[derive(Debug)]
 struct Recovery {
@@ -30,12 +36,35 @@
     violations: Vec<String>,
 }
 
-impl Recovery {
-    fn expect_within(&self, bound_s: f64, context: &str) {
-        assert!(self.violations.is_empty(), "{context}: {self:#?}");
-        let in_time = self.after_s.is_some_and(|after_s| after_s <= bound_s);
-        assert!(in_time, "{context}: {self:?}");
+/// Simulates losses of a fleet, each given by its faults. Checks that no rule is violated and that
+/// the job runs again in time. Returns the largest number of leaders elected in a run.
+fn expect_recovery<'a>(
+    fleet: &[FleetWorker],
+    job_fields: &Value,
+    tune: fn(&mut Tuning),
+    losses: impl IntoIterator<Item = &'a [(f64, Fault)]>,
+) -> usize {
+    let mut most_elections = 0;
+    for faults in losses {
+        for seed in 0..SEEDS {
+            let recovery = lose_workers(seed, fleet, job_fields.clone(), tune, faults);
+            let in_time = recovery.after_s.is_some_and(|s| s <= MAX_RECOVERY_S);
+            assert!(
+                in_time && recovery.violations.is_empty(),
+                "seed {seed}, {faults:?}: {recovery:#?}"
+            );
+            most_elections = most_elections.max(recovery.elections);
+        }
     }
+    most_elections
+}
+
+/// The losses of all workers of a zone: taken, if they are spot workers, or hung for good.
+fn losses_of(zone: &'static str) -> [Fault; 2] {
+    [
+        Fault::TakeAllSpotWorkers(zone),
+        Fault::HangAllWorkers(zone, 200.0),
+    ]
 }
 
 /// Runs a job of two tasks on a fleet that loses workers at [`LOST_AT_S`] by the given faults, whose
@@ -106,13 +135,9 @@
 /// before the worker's lease had expired, and the job never ran again.
 #[test]
 fn a_job_runs_again_after_the_last_worker_was_taken() {
-    let fleet = [("small", "a", true)];
-    let taken = (0.0, Fault::TakeAllSpotWorkers("*"));
-    for seed in 0..4 {
-        let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &[taken]);
-        recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}"));
-        assert_eq!(recovery.elections, 0, "seed {seed}: {recovery:?}");
-    }
+    let taken = [(0.0, Fault::TakeAllSpotWorkers("*"))];
+    let elections = expect_recovery(&[SPOT_A], &json!({}), |_| (), [&taken[..]]);
+    assert_eq!(elections, 0);
 }
 
 /// Guards against the same loop where the leader cannot know what one controller receives: the
@@ -120,22 +145,17 @@
 /// once before the leases have expired, and one more when they have.
 #[test]
 fn leaders_that_hear_no_worker_resign_once_each() {
-    let fleet = [("small", "a", true)];
     let taken = (0.0, Fault::TakeAllSpotWorkers("*"));
     let follower_down = (-1.0, Fault::StopFollower);
-    for seed in 0..4 {
-        for (tune, faults) in [
-            (without_sharding as fn(&mut Tuning), vec![taken]),
-            (|_| (), vec![follower_down, taken]),
-        ] {
-            let recovery = lose_workers(seed, &fleet, json!({}), tune, &faults);
-            let context = format!("seed {seed}, {faults:?}");
-            recovery.expect_within(MAX_RECOVERY_S, &context);
-            assert!(
-                recovery.elections <= CONTROLLERS + 1,
-                "{context}: {recovery:?}"
-            );
-        }
+    for (tune, faults) in [
+        (without_sharding as fn(&mut Tuning), vec![taken]),
+        (|_| (), vec![follower_down, taken]),
+    ] {
+        let elections = expect_recovery(&[SPOT_A], &json!({}), tune, [&faults[..]]);
+        assert!(
+            elections <= CONTROLLERS + 1,
+            "{faults:?}: {elections} leaders"
+        );
     }
 }
 
@@ -181,23 +201,11 @@
 /// Guards against a zone that is taken for unreachable because the machines that it had are gone.
 #[test]
 fn a_job_bound_to_a_zone_runs_again_after_the_zone_lost_its_workers() {
-    let fleet = [
-        ("small", "b", true),
-        ("small", "a", true),
-        ("small", "a", true),
-        ("small", "a", true),
-    ];
+    let fleet = [SPOT_B, SPOT_A, SPOT_A, SPOT_A];
+    let [taken, hung] = losses_of("b");
+    let losses = [taken, hung, Fault::KillWorker(1)].map(|fault| [(0.0, fault)]);
     let bound = json!({"region": "b"});
-    for seed in 0..4 {
-        for fault in [
-            Fault::TakeAllSpotWorkers("b"),
-            Fault::KillWorker(1),
-            Fault::HangAllWorkers("b", 200.0),
-        ] {
-            let recovery = lose_workers(seed, &fleet, bound.clone(), |_| (), &[(0.0, fault)]);
-            recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {fault:?}"));
-        }
-    }
+    expect_recovery(&fleet, &bound, |_| (), losses.iter().map(|loss| &loss[..]));
 }
 
 /// A zone that is partitioned for longer than a lease. A job bound to it needs four workers. None is
@@ -244,34 +252,20 @@
 /// workers.
 #[test]
 fn a_job_runs_again_after_every_zone_lost_its_workers() {
-    let fleet = [("small", "a", true), ("small", "b", true)];
-    for seed in 0..4 {
-        for fault in [
-            Fault::TakeAllSpotWorkers("*"),
-            Fault::HangAllWorkers("*", 200.0),
-        ] {
-            let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &[(0.0, fault)]);
-            recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {fault:?}"));
-        }
-    }
+    let losses = losses_of("*").map(|fault| [(0.0, fault)]);
+    let losses = losses.iter().map(|loss| &loss[..]);
+    expect_recovery(&[SPOT_A, SPOT_B], &json!({}), |_| (), losses);
 }
 
 /// The leader crashes just before or some time after the loss, so the next leader never hears the
 /// lost workers.
 #[test]
 fn a_job_runs_again_under_a_leader_that_never_heard_the_lost_workers() {
-    let fleet = [("small", "a", true), ("small", "b", true)];
-    for seed in 0..4 {
-        for crash_at in [-0.2, 1.0, 5.0, 12.0] {
-            for fault in [
-                Fault::TakeAllSpotWorkers("*"),
-                Fault::HangAllWorkers("*", 200.0),
-            ] {
-                let faults = [(crash_at, Fault::RestartLeaders(1, 0.5)), (0.0, fault)];
-                let recovery = lose_workers(seed, &fleet, json!({}), |_| (), &faults);
-                recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {faults:?}"));
-            }
-        }
+    for crash_at in [-0.2, 1.0, 5.0, 12.0] {
+        let crash = (crash_at, Fault::RestartLeaders(1, 0.5));
+        let losses = losses_of("*").map(|fault| [crash, (0.0, fault)]);
+        let losses = losses.iter().map(|loss| &loss[..]);
+        expect_recovery(&[SPOT_A, SPOT_B], &json!({}), |_| (), losses);
     }
 }
 
@@ -279,18 +273,10 @@
 /// leader leads, so that no worker is requested in their place.
 #[test]
 fn a_job_runs_again_after_a_fleet_of_maximum_size_was_lost() {
-    let fleet = [("small", "a", true)];
-    for seed in 0..4 {
-        for fault in [
-            Fault::TakeAllSpotWorkers("*"),
-            Fault::KillWorker(1),
-            Fault::HangAllWorkers("*", 200.0),
-        ] {
-            let faults = [(0.0, fault)];
-            let recovery = lose_workers(seed, &fleet, json!({}), with_one_worker, &faults);
-            recovery.expect_within(MAX_RECOVERY_S, &format!("seed {seed}, {fault:?}"));
-        }
-    }
+    let [taken, hung] = losses_of("*");
+    let losses = [taken, hung, Fault::KillWorker(1)].map(|fault| [(0.0, fault)]);
+    let losses = losses.iter().map(|loss| &loss[..]);
+    expect_recovery(&[SPOT_A], &json!({}), with_one_worker, losses);
 }
 
 /// Guards against a job bound to a zone that waits for a worker that boots in another zone.
