--- a/src/coordination/provisioning/mod.rs
+++ b/src/coordination/provisioning/mod.rs
@@ -4,11 +4,11 @@
 //! are idle or do not boot, and workers whose tasks can only be proved gone by returning the worker
 //! to the cloud.
 //!
-//! `scale_out` and `scale_in` send requests and handle their results, `pools` chooses where, `boots` estimates boot times,
-//! `unresponsive` releases workers that this leader cannot reach, `lost_workers` those that no longer
-//! exist, `recent_heartbeats` tells which
-//! zones are reachable, `zones` where new workers can be expected to be reachable, and `quarantine`
-//! distinguishes faulty workers from faulty jobs.
+//! `scale_out` and `scale_in` send requests and handle their results, and `boots` estimates boot
+//! times. `pools` chooses where workers are requested, and `zones` tells where new workers can be
+//! expected to be reachable. `unresponsive` releases workers that this leader cannot reach, with the
+//! reachability of zones from `recent_heartbeats`; `lost_workers` releases workers that no longer
+//! exist. `quarantine` distinguishes faulty workers from faulty jobs.
 
 mod boots;
 mod lost_workers;
--- a/src/coordination/provisioning/pools.rs
+++ b/src/coordination/provisioning/pools.rs
@@ -90,8 +90,8 @@
         price * needs.dominant_share_of(&described.capacity)
     }
 
-    /// Returns whether one more worker of the pool may be requested: the pool must not
-    /// have lacked capacity or refused a request recently, and the zone must accept workers.
+    /// Returns whether one more worker of the pool may be requested: the pool must not have lacked
+    /// capacity or refused a request recently, and the zone must not be unresponsive.
     fn may_request(&self, pool: CapacityPool, plan: &ScaleOutPlan) -> bool {
         let avoided_until = &self.provisioning.avoided_until;
         !avoided_until.contains_key(&pool)
--- a/src/coordination/provisioning/scale_out.rs
+++ b/src/coordination/provisioning/scale_out.rs
@@ -79,7 +79,7 @@
 type ReplicasAtRisk = BTreeMap<u32, u32>;
 
 impl ScaleOutPlan {
-    /// Returns whether workers boot or are planned in a zone that does not respond.
+    /// Returns whether workers with free resources boot or are planned in a zone.
     pub(super) fn has_workers_in(&self, zone: u32) -> bool {
         self.available.iter().any(|worker| worker.zone == zone)
     }
