Return expired workers only in the place of new ones, one at a time

Cause: returned all workers whose leases had expired once the fleet had its maximum size and any job waited. With a fleet above the maximum (fleet_max 1, as in this test) the whole partitioned zone was returned, and no worker could be requested in its place.

Change: a worker is returned only if the fleet has exactly the maximum size, so that one can take its place, only if the plan for scaling out wants a worker, and one at a time.

Measured: that test passes again, unchanged, and so does a_job_runs_again_after_a_fleet_of_maximum_size_was_lost. wire_fingerprint keeps all hashes.

--- a/src/coordination/provisioning/lost_workers.rs
+++ b/src/coordination/provisioning/lost_workers.rs
@@ -5,7 +5,8 @@
 //! a worker is gone only if it describes a time at which the worker already existed.
 //!
 //! If the fleet has its maximum size, a worker that is silent since its lease expired is released as
-//! well: it may exist, but it holds no tasks and takes the place of one that works.
+//! well, for each worker that is needed: it may exist, but it holds no tasks and takes the place of
+//! one that works.
 //!
 //! Lost workers are returned like any other. The cloud ignores unknown names, and its confirmation
 //! proves that the tasks are gone.
@@ -38,25 +39,34 @@
 
     /// Marks lost workers for scale-in.
     pub(super) fn release_lost_workers(&mut self) {
-        self.release_where(ReleaseReason::Unlisted, |core, worker_index| {
-            // A worker that still sends heartbeats exists, whatever the list says.
-            core.workers[worker_index].unlisted && core.is_unresponsive(worker_index)
+        // A worker that still sends heartbeats exists, whatever the list says.
+        let mut unlisted = self.workers.indices();
+        unlisted.retain(|&worker_index| {
+            let worker = &self.workers[worker_index];
+            worker.unlisted && !worker.scaling_in && self.is_unresponsive(worker_index)
         });
-        if self.is_at_maximum_size() && self.any_job_needs_workers() {
-            self.release_where(ReleaseReason::Expired, |core, worker_index| {
-                !Self::may_hold_lease(&core.workers[worker_index])
-            });
+        self.release(ReleaseReason::Unlisted, &unlisted);
+        let expired = self.expired_worker_to_replace();
+        self.release(ReleaseReason::Expired, expired.as_slice());
+    }
+
+    /// Returns a worker to be replaced by a new one: its lease has expired, a job needs a worker,
+    /// and the configured maximum allows one only if this one is returned.
+    fn expired_worker_to_replace(&self) -> Option<u32> {
+        if !self.replacing_makes_room() {
+            return None;
         }
+        let mut expired = self.workers.iter();
+        let (worker_index, worker) = expired.find(|(_, w)| !Self::may_hold_lease(w))?;
+        // One at a time: the next one is released when this one is gone.
+        let needed = !worker.scaling_in && !self.plan_scale_out(1).is_empty();
+        needed.then_some(worker_index)
     }
 
-    fn release_where(&mut self, reason: ReleaseReason, is_lost: impl Fn(&Self, u32) -> bool) {
-        let mut released = self.workers.indices();
-        released.retain(|&worker_index| {
-            !self.workers[worker_index].scaling_in && is_lost(self, worker_index)
-        });
-        for &worker_index in &released {
+    fn release(&mut self, reason: ReleaseReason, released: &[u32]) {
+        for &worker_index in released {
             self.workers[worker_index].scaling_in = true;
         }
-        self.log_released(reason, &released);
+        self.log_released(reason, released);
     }
 }
--- a/src/coordination/provisioning/scale_out.rs
+++ b/src/coordination/provisioning/scale_out.rs
@@ -139,17 +139,18 @@
             return;
         }
         self.update_zone_health();
-        let wanted = self.plan_scale_out();
+        let wanted = self.plan_scale_out(self.allowed_workers());
         for (pool, count) in wanted.into_iter().take(MAX_REQUESTS) {
             self.request_workers(pool, count);
         }
     }
 
-    /// Returns how many workers to request from each pool. Jobs of the highest weight come first.
-    fn plan_scale_out(&self) -> BTreeMap<CapacityPool, u32> {
+    /// Returns how many workers to request from each pool, at most `allowed`. Jobs of the highest
+    /// weight come first.
+    pub(super) fn plan_scale_out(&self, allowed: u32) -> BTreeMap<CapacityPool, u32> {
         let at_risk = self.replicas_at_risk();
         let mut plan = ScaleOutPlan {
-            allowed: self.allowed_workers(),
+            allowed,
             available: self.available_booting_workers(),
             wanted: BTreeMap::new(),
         };
@@ -168,20 +169,19 @@
         if limit == 0 {
             return MAX_WORKERS_PER_REQUEST;
         }
-        let present = (self.workers.iter().count() + self.provisioning.booting.len()) as u32;
-        limit.saturating_sub(present).min(MAX_WORKERS_PER_REQUEST)
+        let room = limit.saturating_sub(self.present_workers());
+        room.min(MAX_WORKERS_PER_REQUEST)
     }
 
-    /// Returns whether the configured maximum allows no further worker.
-    pub(super) fn is_at_maximum_size(&self) -> bool {
-        self.allowed_workers() == 0
+    /// Returns whether the fleet has exactly the configured maximum size, so that a new worker may
+    /// take the place of a returned one.
+    pub(super) fn replacing_makes_room(&self) -> bool {
+        let limit = self.config.tuning.fleet_max;
+        limit > 0 && limit == self.present_workers()
     }
 
-    /// Returns whether tasks of any job have been unplaced for long enough to request workers.
-    pub(super) fn any_job_needs_workers(&self) -> bool {
-        self.jobs
-            .iter()
-            .any(|(_, job)| job.state == JobState::Live && self.needs_workers(job))
+    fn present_workers(&self) -> u32 {
+        (self.workers.iter().count() + self.provisioning.booting.len()) as u32
     }
 
     /// Returns whether tasks of a job have been unplaced for long enough to request workers.
