Simulate direct messages that arrive again after they were carried out

The simulated cluster held direct messages up but delivered each of them once, so no test could see a copy.

RepeatCommands delivers copies of carried-out messages half a second to two minutes later or within a second of a controller's restart, up to three times and in any order; nobody waits for the answers. FailTasksOnWorker lets tasks fail.

--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -1,7 +1,7 @@
 //! A fake cloud and fake workers. Each event is checked against the invariants that controllers
 //! must keep.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde_json::{Value, json};
 
@@ -136,6 +136,9 @@
     images: Vec<String>,
     /// Whether its state has changed since its last heartbeat.
     pub changed: bool,
+    /// By task and attempt: the highest fencing token of a direct message with the start that was
+    /// sent to this incarnation. Copies of these messages may arrive at any time.
+    direct_starts: BTreeMap<(String, u64), u64>,
 }
 
 /// The workers, jobs and fake cloud of a simulated site, and the violations found so far.
@@ -180,6 +183,10 @@
     checkpoints: BTreeMap<String, f64>,
     /// The number in the name of the newest worker.
     last_worker: u64,
+    /// Workers on which every task fails soon after it has started.
+    pub failing_workers: BTreeSet<String>,
+    /// Tasks and attempts that have started. Every start of a controller is a new attempt.
+    started_attempts: BTreeSet<(String, u64)>,
 }
 
 impl Default for Site {
@@ -204,6 +211,8 @@
             machine_types: serde_json::from_str(MACHINE_TYPES).expect("valid machine types"),
             checkpoints: BTreeMap::new(),
             last_worker: 0,
+            failing_workers: BTreeSet::new(),
+            started_attempts: BTreeSet::new(),
         }
     }
 }
@@ -288,6 +297,7 @@
                 tasks: BTreeMap::new(),
                 images: Vec::new(),
                 changed: true,
+                direct_starts: BTreeMap::new(),
             },
         );
         name
@@ -324,6 +334,13 @@
             .map_or(0, |t| t.attempt);
         self.history
             .record(self.now, task, attempt, worker, EventKind::Started);
+        let started = (task.to_string(), attempt);
+        if !self.started_attempts.insert(started) {
+            violated.push((
+                "started_again",
+                format!("{task} on {worker}, attempt {attempt}"),
+            ));
+        }
         let job = &self.jobs[&job_name];
         let target = &self.workers[worker];
         let body = &job.body;
@@ -514,6 +531,36 @@
             .record(self.now, task, attempt, worker, EventKind::Left);
     }
 
+    /// Records the starts in a direct message when the message is sent to a worker.
+    pub fn record_direct_starts(&mut self, worker: &str, message: &Value) {
+        let Some(w) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if message["tenure"].as_u64() != Some(w.incarnation) {
+            return;
+        }
+        let token = message["fence"].as_u64().unwrap_or(0);
+        for command in message["orders"].as_array().into_iter().flatten() {
+            if command["verb"] == "start" {
+                let task = command["shard"].as_str().unwrap_or("").to_string();
+                let attempt = command["try"].as_u64().unwrap_or(0);
+                let sent = w.direct_starts.entry((task, attempt)).or_default();
+                *sent = token.max(*sent);
+            }
+        }
+    }
+
+    /// Checks a command to forget an attempt: a copy of a direct message with its start must have a
+    /// lower token, so that the worker refuses it.
+    fn check_forget(&mut self, worker: &str, task: &str, attempt: u64) {
+        let w = &self.workers[worker];
+        let started_under = w.direct_starts.get(&(task.to_string(), attempt));
+        if started_under.is_some_and(|sent| *sent >= w.token) {
+            let details = format!("{task} on {worker}, attempt {attempt}");
+            self.record_violation("forgotten_too_early", &details);
+        }
+    }
+
     /// Executes the commands of an answer or a direct message on a worker.
     pub fn execute_commands(&mut self, worker: &str, commands: &Value) {
         for command in commands.as_array().into_iter().flatten() {
@@ -530,6 +577,8 @@
                     if w.tasks.get(&task).is_some_and(|t| {
                         t.attempt == attempt && matches!(t.state, TaskState::Exited(_))
                     }) {
+                        self.check_forget(worker, &task, attempt);
+                        let w = self.workers.get_mut(worker).expect("exists");
                         w.tasks.remove(&task);
                         w.changed = true;
                     }
@@ -638,6 +687,7 @@
         let w = self.workers.get_mut(name).expect("exists");
         if now - w.lease_started_at > lease_s {
             let tasks = std::mem::take(&mut w.tasks);
+            w.direct_starts.clear();
             w.incarnation += 1;
             w.lease_started_at = now;
             w.changed = true;
@@ -693,10 +743,17 @@
                 TaskState::Running { remaining_s }
             };
         }
+        let fails = self.failing_workers.contains(name);
         let w = self.workers.get_mut(name).expect("exists");
         let mut completed = Vec::new();
         let mut left = Vec::new();
         for (task, t) in &mut w.tasks {
+            if fails && matches!(t.state, TaskState::Running { .. }) {
+                left.push((task.clone(), t.attempt));
+                t.state = TaskState::Exited("error");
+                w.changed = true;
+                continue;
+            }
             if let TaskState::Saving { until, remaining_s } = t.state
                 && until <= now
             {
--- a/tests/simulated_cluster/faults.rs
+++ b/tests/simulated_cluster/faults.rs
@@ -61,6 +61,11 @@
     /// The given share of direct messages to workers, or of the answers to them, is delayed for
     /// seconds.
     LateCommands(f64, f64),
+    /// The given share of direct messages that workers carry out arrives again, up to three times:
+    /// after half a second to two minutes, or just after a controller has restarted.
+    RepeatCommands(f64, f64),
+    /// Every task that runs on a worker fails at once.
+    FailTasksOnWorker(usize, f64),
     /// A worker receives no answers and no direct messages, while its heartbeats arrive.
     DropMessagesToWorker(usize, f64),
     /// A controller is partitioned from the named endpoint, or from everything if it is "*".
@@ -223,6 +228,13 @@
         Fault::LateCommands(share, s) => {
             set_for(&cluster, |w| &mut w.late_commands, share, s).await;
         }
+        Fault::RepeatCommands(share, s) => {
+            set_for(&cluster, |w| &mut w.repeated_commands, share, s).await;
+        }
+        Fault::FailTasksOnWorker(i, s) => {
+            let workers = [worker_name(i)];
+            insert_for(&cluster, |w| &mut w.site.failing_workers, &workers, s).await;
+        }
         Fault::DropMessagesToWorker(i, s) => {
             insert_for(&cluster, |w| &mut w.inbound_dropped, &[worker_name(i)], s).await;
         }
--- a/tests/simulated_cluster/mod.rs
+++ b/tests/simulated_cluster/mod.rs
@@ -65,6 +65,11 @@
     /// Share of direct messages to workers that are delayed, or whose answers are delayed, so that
     /// later ones overtake them.
     pub late_commands: f64,
+    /// Share of direct messages to workers that arrive again after they were carried out and
+    /// answered, see [`Fault::RepeatCommands`].
+    pub repeated_commands: f64,
+    /// How often a controller's process has started.
+    pub process_starts: u64,
     /// Share of transactions that are carried out at once but whose answers are lost.
     pub lost_transaction_answers: f64,
     /// Workers whose heartbeats reach no controller, while direct messages reach them.
@@ -212,6 +217,7 @@
     let mut w = cluster.lock().unwrap();
     w.controllers[i] = Some(api);
     w.alive[i] = alive;
+    w.process_starts += 1;
 }
 
 /// The shortest time in seconds in which a crashed process restarts.
--- a/tests/simulated_cluster/network.rs
+++ b/tests/simulated_cluster/network.rs
@@ -250,6 +250,76 @@
     (status, site.workers.get_mut(to).unwrap().heartbeat())
 }
 
+/// The delay after which a direct message that was carried out arrives again, in seconds.
+const REPEAT_DELAY_S: std::ops::Range<f64> = 0.5..120.0;
+/// The delay between the restart of a controller and a message that arrives again, in seconds.
+const REPEAT_AFTER_RESTART_S: std::ops::Range<f64> = 0.0..1.0;
+
+/// When a copy of a direct message arrives.
+enum RepeatTime {
+    /// After this time.
+    After(Duration),
+    /// This time after the process of a controller has started next.
+    AfterRestart(Duration),
+}
+
+/// Draws the times at which [`Fault::RepeatCommands`] lets copies of a direct message arrive. Their
+/// order is not that in which the messages were sent.
+fn repeat_times(cluster: &SharedCluster) -> Vec<RepeatTime> {
+    let w = &mut *cluster.lock().unwrap();
+    if w.repeated_commands == 0.0 || !w.rng.random_bool(w.repeated_commands) {
+        return Vec::new();
+    }
+    let (earliest, latest) = (REPEAT_DELAY_S.start.ln(), REPEAT_DELAY_S.end.ln());
+    let draw = |_| {
+        if w.rng.random_bool(0.3) {
+            let delay_s = w.rng.random_range(REPEAT_AFTER_RESTART_S);
+            RepeatTime::AfterRestart(Duration::from_secs_f64(delay_s))
+        } else {
+            let delay_s = w.rng.random_range(earliest..latest).exp();
+            RepeatTime::After(Duration::from_secs_f64(delay_s))
+        }
+    };
+    (0..3).map(draw).collect()
+}
+
+/// Waits until a copy of a direct message arrives.
+async fn await_repeat(cluster: &SharedCluster, time: RepeatTime) {
+    let delay = match time {
+        RepeatTime::After(delay) => delay,
+        RepeatTime::AfterRestart(delay) => {
+            let starts = cluster.lock().unwrap().process_starts;
+            while cluster.lock().unwrap().process_starts == starts {
+                sleep(Duration::from_millis(50)).await;
+            }
+            delay
+        }
+    };
+    sleep(delay).await;
+}
+
+/// Lets copies of a direct message that a worker has carried out arrive again. Nobody waits for
+/// their answers.
+fn repeat_message(cluster: &SharedCluster, to: &str, path: &str, body: &[u8]) {
+    for time in repeat_times(cluster) {
+        let (cluster, to) = (cluster.clone(), to.to_string());
+        let (path, body) = (path.to_string(), body.to_vec());
+        tokio::spawn(async move {
+            await_repeat(&cluster, time).await;
+            execute_at_worker(&cluster, &to, &path, &body).await;
+        });
+    }
+}
+
+/// Records the starts in a direct message that is sent to a worker.
+fn record_direct_starts(cluster: &SharedCluster, to: &str, path: &str, body: &[u8]) {
+    if path == "/orders" {
+        let message: Value = serde_json::from_slice(body).expect("JSON");
+        let site = &mut cluster.lock().unwrap().site;
+        site.record_direct_starts(to, &message);
+    }
+}
+
 /// Sleeps, unless the time is zero: such a sleep would change the order in which tasks run.
 pub(super) async fn sleep_unless_zero(time: Duration) {
     if !time.is_zero() {
@@ -318,9 +388,13 @@
                 .handle_cloud_request(method.as_str(), &path, &body),
         )
     } else if to.starts_with("vm-") {
+        record_direct_starts(&cluster, &to, &path, &body);
         let (message_delay, answer_delay) = command_delays(&cluster);
         sleep_unless_zero(message_delay).await;
         let (status, heartbeat) = execute_at_worker(&cluster, &to, &path, &body).await;
+        if status == 200 {
+            repeat_message(&cluster, &to, &path, &body);
+        }
         sleep_unless_zero(answer_delay).await;
         answer((status, heartbeat))
     } else {
--- a/tests/simulated_cluster/scenario.rs
+++ b/tests/simulated_cluster/scenario.rs
@@ -149,6 +149,8 @@
         late_transactions: 0.0,
         duplicate_heartbeats: 0.0,
         late_commands: 0.0,
+        repeated_commands: 0.0,
+        process_starts: 0,
         lost_transaction_answers: 0.0,
         heartbeats_dropped: BTreeSet::new(),
         replayed_heartbeats: 0.0,
