Simulate late copies of all other requests, and machines that restart anew

RepeatRequests lets copies of transactions, leases, rentals, messages between controllers and of users' submissions and cancellations arrive half a second to two minutes later.

RestartWorker lets a machine begin anew with incarnation 1 and no token. It is heard and its tasks run again. But it carries out a copy of an old start that is the first message to reach it: nothing in the message differs from a wanted one.

--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -860,6 +860,24 @@
         }
     }
 
+    /// Restarts the machine of a worker: its tasks are gone, and it begins anew with incarnation 1 and
+    /// without a fencing token.
+    pub fn restart_worker(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        let tasks = std::mem::take(&mut w.tasks);
+        w.incarnation = 1;
+        w.counter = 0;
+        w.token = 0;
+        w.lease_started_at = now;
+        w.changed = true;
+        for (task, t) in tasks.iter().filter(|(_, t)| t.state.occupies_worker()) {
+            self.record_left(name, task, t.attempt);
+        }
+    }
+
     /// Crashes a worker: it does nothing any more.
     pub fn crash_worker(&mut self, name: &str) {
         if let Some(w) = self.workers.get_mut(name) {
--- a/tests/compound_failures_random.rs
+++ b/tests/compound_failures_random.rs
@@ -84,7 +84,7 @@
 const REPEATS_SEED: u64 = 0x5265_7065_6174_7321;
 
 /// Adds late copies of direct messages to every second day, on some of them beside a worker that
-/// fails its tasks. The other faults of a day do not depend on it.
+/// fails its tasks, or copies of all other requests. The other faults of a day do not depend on it.
 fn add_repeated_commands(seed: u64, faults: &mut Vec<(f64, Fault)>) {
     let rng = &mut StdRng::seed_from_u64(seed ^ REPEATS_SEED);
     if rng.random() {
@@ -94,6 +94,10 @@
             let (worker, s) = (rng.random_range(1..=6), rng.random_range(5.0..20.0));
             faults.push((at, Fault::FailTasksOnWorker(worker, s)));
         }
+        if rng.random() {
+            let share = rng.random_range(0.1..0.6);
+            faults.push((at, Fault::RepeatRequests(share, FAULTS_END_S - at)));
+        }
     }
 }
 
--- a/tests/repeated_commands.rs
+++ b/tests/repeated_commands.rs
@@ -91,6 +91,32 @@
     expect_clean("cancelled jobs", 0..6, &faults, 0.0);
 }
 
+#[test]
+fn a_machine_that_restarts_without_its_token_is_heard_and_its_tasks_run_again() {
+    let restarts = (1..=6).map(|i| (4.0 + 2.0 * i as f64, Fault::RestartWorker(i)));
+    let faults: Vec<(f64, Fault)> = restarts.collect();
+    expect_clean("restarted machines", 0..6, &faults, 0.0);
+}
+
+#[test]
+fn a_machine_that_restarts_without_its_token_starts_no_forgotten_attempt() {
+    let mut faults = vec![(FIRST_FAULT_S, Fault::RepeatCommands(1.0, REPEATING_S))];
+    faults.extend((1..=6).map(|i| (4.0 + 2.0 * i as f64, Fault::RestartWorker(i))));
+    expect_clean("restarted machines", 0..6, &faults, 0.0);
+}
+
+#[test]
+fn late_copies_of_all_other_requests_violate_no_rule() {
+    let faults = [
+        (0.5, Fault::RepeatRequests(1.0, REPEATING_S)),
+        (8.0, Fault::CancelRunningJobs(3, 0.0)),
+        (10.0, Fault::RestartAll(0.2)),
+        (20.0, Fault::RestartLeaders(2, 0.3)),
+        (30.0, Fault::StateOutage(5.0)),
+    ];
+    expect_clean("repeated requests", 0..6, &faults, 0.0);
+}
+
 /// All direct messages arrive again twice a second, the newest first, while tasks complete, fail,
 /// are preempted and cancelled.
 #[test]
--- a/tests/simulated_cluster/faults.rs
+++ b/tests/simulated_cluster/faults.rs
@@ -64,6 +64,9 @@
     /// The given share of direct messages that workers carry out arrives again, up to three times:
     /// after half a second to two minutes, or just after a controller has restarted.
     RepeatCommands(f64, f64),
+    /// The given share of requests to the state service, to the cloud, between controllers, and of
+    /// users' submissions and cancellations arrives again, half a second to two minutes later.
+    RepeatRequests(f64, f64),
     /// Every task that runs on a worker fails at once.
     FailTasksOnWorker(usize, f64),
     /// A worker receives no answers and no direct messages, while its heartbeats arrive.
@@ -78,6 +81,9 @@
     LosePeerMessage(u32, bool),
     /// A worker is partitioned from everything.
     PartitionWorker(usize, f64),
+    /// The machine of a worker restarts at once: it has lost its tasks, its incarnation and the
+    /// fencing token.
+    RestartWorker(usize),
     /// A worker dies and does not return.
     KillWorker(usize),
     /// The cloud takes a spot worker back without notice.
@@ -231,6 +237,9 @@
         Fault::RepeatCommands(share, s) => {
             set_for(&cluster, |w| &mut w.repeated_commands, share, s).await;
         }
+        Fault::RepeatRequests(share, s) => {
+            set_for(&cluster, |w| &mut w.repeated_requests, share, s).await;
+        }
         Fault::FailTasksOnWorker(i, s) => {
             let workers = [worker_name(i)];
             insert_for(&cluster, |w| &mut w.site.failing_workers, &workers, s).await;
@@ -287,6 +296,9 @@
             wait(s).await;
             cluster.lock().unwrap().site.boot_s = usual_boot_s;
         }
+        Fault::RestartWorker(i) => {
+            cluster.lock().unwrap().site.restart_worker(&worker_name(i));
+        }
         Fault::KillWorker(i) => cluster.lock().unwrap().site.crash_worker(&worker_name(i)),
         Fault::TakeWorker(i) => cluster.lock().unwrap().site.remove_worker(&worker_name(i)),
         Fault::TakeAllSpotWorkers(zone) => {
--- a/tests/simulated_cluster/mod.rs
+++ b/tests/simulated_cluster/mod.rs
@@ -68,6 +68,9 @@
     /// Share of direct messages to workers that arrive again after they were carried out and
     /// answered, see [`Fault::RepeatCommands`].
     pub repeated_commands: f64,
+    /// Share of all other requests that change something and arrive again, see
+    /// [`Fault::RepeatRequests`].
+    pub repeated_requests: f64,
     /// How often a controller's process has started.
     pub process_starts: u64,
     /// Share of transactions that are carried out at once but whose answers are lost.
--- a/tests/simulated_cluster/network.rs
+++ b/tests/simulated_cluster/network.rs
@@ -311,6 +311,23 @@
     }
 }
 
+/// Whether [`Fault::RepeatRequests`] repeats requests like this one: all that change something, but
+/// the messages from and to workers, which other faults repeat.
+fn is_repeatable(to: &str, method: &Method, path: &str) -> bool {
+    method != Method::GET && path != "/hello" && !to.starts_with("vm-")
+}
+
+/// Draws when a copy of a request arrives, if it is repeated.
+fn request_repeat(cluster: &SharedCluster) -> Option<Duration> {
+    let w = &mut *cluster.lock().unwrap();
+    if w.repeated_requests == 0.0 || !w.rng.random_bool(w.repeated_requests) {
+        return None;
+    }
+    let (earliest, latest) = (REPEAT_DELAY_S.start.ln(), REPEAT_DELAY_S.end.ln());
+    let delay_s = w.rng.random_range(earliest..latest).exp();
+    Some(Duration::from_secs_f64(delay_s))
+}
+
 /// Records the starts in a direct message that is sent to a worker.
 fn record_direct_starts(cluster: &SharedCluster, to: &str, path: &str, body: &[u8]) {
     if path == "/orders" {
@@ -327,7 +344,8 @@
     }
 }
 
-/// Delivers a request between two endpoints under the active faults, and returns the answer.
+/// Delivers a request between two endpoints under the active faults, and returns the answer. A copy
+/// of it may arrive later.
 pub async fn deliver(
     cluster: SharedCluster,
     from: String,
@@ -336,6 +354,35 @@
     method: Method,
     path: String,
     body: Vec<u8>,
+) -> Result<HttpResponse, CallError> {
+    if is_repeatable(&to, &method, &path)
+        && let Some(delay) = request_repeat(&cluster)
+    {
+        let copy = deliver_once(
+            cluster.clone(),
+            from.clone(),
+            to.clone(),
+            port,
+            method.clone(),
+            path.clone(),
+            body.clone(),
+        );
+        tokio::spawn(async move {
+            sleep(delay).await;
+            copy.await
+        });
+    }
+    deliver_once(cluster, from, to, port, method, path, body).await
+}
+
+async fn deliver_once(
+    cluster: SharedCluster,
+    from: String,
+    to: String,
+    port: u16,
+    method: Method,
+    path: String,
+    body: Vec<u8>,
 ) -> Result<HttpResponse, CallError> {
     let number = cluster
         .lock()
--- a/tests/simulated_cluster/scenario.rs
+++ b/tests/simulated_cluster/scenario.rs
@@ -150,6 +150,7 @@
         duplicate_heartbeats: 0.0,
         late_commands: 0.0,
         repeated_commands: 0.0,
+        repeated_requests: 0.0,
         process_starts: 0,
         lost_transaction_answers: 0.0,
         heartbeats_dropped: BTreeSet::new(),
