--- a/src/coordination/command_tokens.rs
+++ b/src/coordination/command_tokens.rs
@@ -128,16 +128,10 @@
         *commands = kept;
         let withdrawn: Vec<Command> = withdrawn;
         for start in withdrawn {
-            let Some(job) = self.jobs.index_of(start.job) else {
-                continue;
-            };
-            let id = InstanceId {
-                job,
-                task: start.task,
-                attempt: start.attempt,
-            };
-            self.remove_instance(worker_index, id);
-            self.abort_gang_attempt(id);
+            if let Some(id) = self.jobs.instance_id(&start) {
+                self.remove_instance(worker_index, id);
+                self.abort_gang_attempt(id);
+            }
         }
     }
 
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -278,13 +278,7 @@
         let starts = commands
             .iter()
             .filter(|command| command.verb == Verb::Start)
-            .filter_map(|command| {
-                Some(InstanceId {
-                    job: self.jobs.index_of(command.job)?,
-                    task: command.task,
-                    attempt: command.attempt,
-                })
-            })
+            .filter_map(|command| self.jobs.instance_id(command))
             .collect();
         let via = self.record_in_flight(worker_index, message_id, starts, true);
         let worker = &self.workers[worker_index];
--- a/src/coordination/job_table.rs
+++ b/src/coordination/job_table.rs
@@ -4,8 +4,9 @@
 
 use crate::protocol::JobId;
 use crate::protocol::job::JobOutcome;
+use crate::protocol::worker::Command;
 
-use super::model::{Job, Slab};
+use super::model::{InstanceId, Job, Slab};
 
 /// Jobs by index and by id, the outcomes of jobs that ended, and early cancellations.
 #[derive(Debug, Default)]
@@ -39,6 +40,15 @@
         self.by_id.get(&id).copied()
     }
 
+    /// The instance that a command is about, if its job is known.
+    pub(super) fn instance_id(&self, command: &Command) -> Option<InstanceId> {
+        Some(InstanceId {
+            job: self.index_of(command.job)?,
+            task: command.task,
+            attempt: command.attempt,
+        })
+    }
+
     /// The job at this index, if there is one.
     pub(super) fn get(&self, index: u32) -> Option<&Job> {
         self.jobs.get(index)
--- a/src/coordination/provisioning/lost_workers.rs
+++ b/src/coordination/provisioning/lost_workers.rs
@@ -63,7 +63,8 @@
         needed.then_some(worker_index)
     }
 
-    fn release(&mut self, reason: ReleaseReason, released: &[u32]) {
+    /// Marks workers for scale-in, and logs them.
+    pub(super) fn release(&mut self, reason: ReleaseReason, released: &[u32]) {
         for &worker_index in released {
             self.workers[worker_index].scaling_in = true;
         }
--- a/src/coordination/provisioning/unresponsive.rs
+++ b/src/coordination/provisioning/unresponsive.rs
@@ -206,10 +206,9 @@
                 && self.zone_is_reachable(&recent, worker_index, since)
             {
                 released.push(worker_index);
-                self.workers[worker_index].scaling_in = true;
             }
         }
-        self.log_released(ReleaseReason::Unreconciled, &released);
+        self.release(ReleaseReason::Unreconciled, &released);
         self.send_scale_in();
     }
 
@@ -220,21 +219,20 @@
     /// Only their return proves that no command of an earlier leader can still reach them. Without
     /// it, they would block all jobs older than the election until the partition ends.
     fn release_one_way_partitioned_workers(&mut self, unreconciled: &[u32]) {
-        let ttl_s = self.config.tuning.leader_ttl_ms as f64 / 1000.0;
+        let ttl_s = self.config.tuning.leader_ttl_s();
         let expired_at = self.elected_at + ttl_s + self.lease_upper_bound_s();
         let max_interval_s = self.max_heartbeat_interval_s();
         let mut released = Vec::new();
         for &worker_index in unreconciled {
-            let worker = &mut self.workers[worker_index];
+            let worker = &self.workers[worker_index];
             let sends_heartbeats = worker
                 .last_heartbeat_at
                 .is_some_and(|t| t - expired_at > max_interval_s);
             if sends_heartbeats && !worker.scaling_in {
-                worker.scaling_in = true;
                 released.push(worker_index);
             }
         }
-        self.log_released(ReleaseReason::OneWayPartitioned, &released);
+        self.release(ReleaseReason::OneWayPartitioned, &released);
     }
 
     /// Returns the longest time between two heartbeats of a healthy worker.
--- a/src/coordination/reconciliation/command_log.rs
+++ b/src/coordination/reconciliation/command_log.rs
@@ -2,14 +2,14 @@
 //! started and forgotten, and reported tasks that no start explains.
 //!
 //! Single messages are logged at debug level, with a limit per second; omitted lines are counted.
-//! The totals are logged at info level every [`SUMMARY_INTERVAL_S`] seconds.
+//! The totals are logged at info level twice a minute.
 
 use crate::coordination::command_tokens::CommandChannel;
 use crate::coordination::model::{InstanceId, Time};
 use crate::protocol::JobId;
 use crate::protocol::worker::{Command, Verb};
 
-use super::line_limiter::{LineLimiter, SUMMARY_INTERVAL_S};
+use super::line_limiter::LineLimiter;
 
 /// Event counts since the last info line.
 #[derive(Debug, Default)]
@@ -26,7 +26,6 @@
 #[derive(Debug, Default)]
 pub(in crate::coordination) struct CommandLog {
     totals: Totals,
-    next_summary_at: Time,
     limiter: LineLimiter,
 }
 
@@ -105,13 +104,9 @@
 
     /// Logs the totals if the interval has passed.
     pub(in crate::coordination) fn log_if_due(&mut self, now: Time, token: u64) {
-        if self.next_summary_at == 0.0 {
-            self.next_summary_at = now + SUMMARY_INTERVAL_S;
-        }
-        if now < self.next_summary_at {
+        if !self.limiter.is_summary_due(now) {
             return;
         }
-        self.next_summary_at = now + SUMMARY_INTERVAL_S;
         let totals = std::mem::take(&mut self.totals);
         tracing::info!(
             token,
--- a/src/coordination/reconciliation/lease_log.rs
+++ b/src/coordination/reconciliation/lease_log.rs
@@ -1,12 +1,12 @@
 //! The log of worker leases: renewals and the stops sent with them, refused and deferred answers,
 //! and the heartbeats that reconciled a worker.
 //!
-//! Single events are logged at debug level, with a limit per second; omitted lines are counted. The totals are logged at info level every [`SUMMARY_INTERVAL_S`] seconds.
+//! Single events are logged at debug level, with a limit per second; omitted lines are counted. The totals are logged at info level twice a minute.
 
 use crate::coordination::messages::HeartbeatRefusal;
 use crate::coordination::model::{HeartbeatSequence, Time};
 
-use super::line_limiter::{LineLimiter, SUMMARY_INTERVAL_S};
+use super::line_limiter::LineLimiter;
 
 /// An answer to a heartbeat. It renews the lease of the worker.
 pub(super) struct Renewal<'a> {
@@ -51,7 +51,6 @@
 #[derive(Debug, Default)]
 pub(in crate::coordination) struct LeaseLog {
     totals: Totals,
-    next_summary_at: Time,
     limiter: LineLimiter,
 }
 
@@ -152,13 +151,9 @@
 
     /// Logs the totals if the interval has passed.
     pub(in crate::coordination) fn log_if_due(&mut self, now: Time, token: u64) {
-        if self.next_summary_at == 0.0 {
-            self.next_summary_at = now + SUMMARY_INTERVAL_S;
-        }
-        if now < self.next_summary_at {
+        if !self.limiter.is_summary_due(now) {
             return;
         }
-        self.next_summary_at = now + SUMMARY_INTERVAL_S;
         let Totals {
             renewed,
             renewed_with_stops,
--- a/src/coordination/reconciliation/leases.rs
+++ b/src/coordination/reconciliation/leases.rs
@@ -24,8 +24,7 @@
     /// Whether all workers have been silent for so long that no lease is left that this leader or
     /// an earlier one granted. No job is blocked for lost workers any more.
     pub fn silence_outlasts_leases(&self) -> bool {
-        let leader_ttl_s = self.config.tuning.leader_ttl_ms as f64 / 1000.0;
-        let leases_s = leader_ttl_s + self.lease_upper_bound_s();
+        let leases_s = self.config.tuning.leader_ttl_s() + self.lease_upper_bound_s();
         self.silence_s() > leases_s + self.all_unresponsive_after_s()
     }
 
--- a/src/coordination/reconciliation/line_limiter.rs
+++ b/src/coordination/reconciliation/line_limiter.rs
@@ -1,9 +1,9 @@
-//! Limits the debug lines of a log to a number per second.
+//! Limits the debug lines of a log to a number per second, and times the lines with its totals.
 
 use crate::coordination::model::Time;
 
 /// The interval between two lines with the totals of a log.
-pub(super) const SUMMARY_INTERVAL_S: Time = 30.0;
+const SUMMARY_INTERVAL_S: Time = 30.0;
 /// The maximum number of debug lines per second, so that logging does not slow the failover of
 /// thousands of workers.
 const MAX_LINES_PER_S: u32 = 100;
@@ -15,6 +15,7 @@
     second: u64,
     lines: u32,
     omitted: u64,
+    next_summary_at: Time,
 }
 
 impl LineLimiter {
@@ -34,6 +35,16 @@
         admitted
     }
 
+    /// Whether the line with the totals is due, the first one an interval after the first call.
+    pub(super) fn is_summary_due(&mut self, now: Time) -> bool {
+        let is_first_call = self.next_summary_at == 0.0;
+        let due = !is_first_call && now >= self.next_summary_at;
+        if due || is_first_call {
+            self.next_summary_at = now + SUMMARY_INTERVAL_S;
+        }
+        due
+    }
+
     /// The number of lines that were omitted since the last call.
     pub(super) fn take_omitted(&mut self) -> u64 {
         std::mem::take(&mut self.omitted)
--- a/src/coordination/reconciliation/worker_commands.rs
+++ b/src/coordination/reconciliation/worker_commands.rs
@@ -133,14 +133,9 @@
         let remaining = worker.outbox.split_off(count);
         let commands = std::mem::replace(&mut worker.outbox, remaining);
         for command in &commands {
-            let Some(job) = self.jobs.index_of(command.job) else {
+            let Some(id) = self.jobs.instance_id(command) else {
                 continue;
             };
-            let id = InstanceId {
-                job,
-                task: command.task,
-                attempt: command.attempt,
-            };
             let Some(instance) = worker.instances.get_mut(&id) else {
                 continue;
             };
--- a/src/coordination/sharding/mod.rs
+++ b/src/coordination/sharding/mod.rs
@@ -98,7 +98,7 @@
     /// Adds a new worker to the shards. Unless it is fenced, shard owners of an earlier leader may
     /// answer it until one TTL after the election. A fenced worker gets no answers.
     pub(super) fn add_worker_to_shards(&mut self, worker_index: u32) {
-        let ttl_s = self.config.tuning.leader_ttl_ms as f64 / 1000.0;
+        let ttl_s = self.config.tuning.leader_ttl_s();
         let Some(sharding) = &mut self.sharding else {
             return;
         };
--- a/src/settings/checks.rs
+++ b/src/settings/checks.rs
@@ -216,7 +216,7 @@
     /// The leader's lease is too long.
     pub fn check_against(&self, settings: &Settings) -> Result<(), LeaderTtlTooLong> {
         let workers = &settings.cluster.workers;
-        let ttl_s = self.leader_ttl_ms as f64 / 1000.0;
+        let ttl_s = self.leader_ttl_s();
         if ttl_s + workers.lease_s + 2.0 * workers.heartbeat_interval_s <= workers.cancel_s {
             return Ok(());
         }
--- a/src/settings/tuning.rs
+++ b/src/settings/tuning.rs
@@ -173,6 +173,11 @@
 }
 
 impl Tuning {
+    /// The length of the leader's lease in seconds.
+    pub fn leader_ttl_s(&self) -> f64 {
+        self.leader_ttl_ms as f64 / 1000.0
+    }
+
     /// Reads and validates a settings file.
     ///
     /// # Errors
--- a/tests/simulated_cluster/network.rs
+++ b/tests/simulated_cluster/network.rs
@@ -10,6 +10,7 @@
 use copperfield::transport::server::ApiRequest;
 use hyper::Method;
 use rand::Rng;
+use rand::rngs::StdRng;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
@@ -263,6 +264,12 @@
     AfterRestart(Duration),
 }
 
+/// Draws the delay of a copy; short and long ones are equally likely.
+fn draw_repeat_delay(rng: &mut StdRng) -> Duration {
+    let (earliest, latest) = (REPEAT_DELAY_S.start.ln(), REPEAT_DELAY_S.end.ln());
+    Duration::from_secs_f64(rng.random_range(earliest..latest).exp())
+}
+
 /// Draws the times at which [`Fault::RepeatCommands`] lets copies of a direct message arrive. Their
 /// order is not that in which the messages were sent.
 fn repeat_times(cluster: &SharedCluster) -> Vec<RepeatTime> {
@@ -270,14 +277,12 @@
     if w.repeated_commands == 0.0 || !w.rng.random_bool(w.repeated_commands) {
         return Vec::new();
     }
-    let (earliest, latest) = (REPEAT_DELAY_S.start.ln(), REPEAT_DELAY_S.end.ln());
     let draw = |_| {
         if w.rng.random_bool(0.3) {
             let delay_s = w.rng.random_range(REPEAT_AFTER_RESTART_S);
             RepeatTime::AfterRestart(Duration::from_secs_f64(delay_s))
         } else {
-            let delay_s = w.rng.random_range(earliest..latest).exp();
-            RepeatTime::After(Duration::from_secs_f64(delay_s))
+            RepeatTime::After(draw_repeat_delay(&mut w.rng))
         }
     };
     (0..3).map(draw).collect()
@@ -323,9 +328,7 @@
     if w.repeated_requests == 0.0 || !w.rng.random_bool(w.repeated_requests) {
         return None;
     }
-    let (earliest, latest) = (REPEAT_DELAY_S.start.ln(), REPEAT_DELAY_S.end.ln());
-    let delay_s = w.rng.random_range(earliest..latest).exp();
-    Some(Duration::from_secs_f64(delay_s))
+    Some(draw_repeat_delay(&mut w.rng))
 }
 
 /// Records the starts in a direct message that is sent to a worker.
--- a/tests/simulated_cluster/scenario.rs
+++ b/tests/simulated_cluster/scenario.rs
@@ -69,10 +69,16 @@
 /// renewal, as on large sites. A worker that was unreachable may return within its lease but too
 /// late for a renewal that does not deliver its stop commands.
 pub fn start_long_lease_cluster(seed: u64) -> SharedCluster {
+    start_cluster_on(seed, 0.0, 0.0, |_| (), site_with_leases(LONG_LEASE_S))
+}
+
+/// A site with worker leases of the given length in seconds, and the slack of
+/// [`LONG_LEASE_SLACK_S`].
+fn site_with_leases(lease_s: f64) -> Site {
     let mut site = Site::default();
-    site.lease_s = LONG_LEASE_S;
-    site.cancel_s = LONG_LEASE_S + LONG_LEASE_SLACK_S;
-    start_cluster_on(seed, 0.0, 0.0, |_| (), site)
+    site.lease_s = lease_s;
+    site.cancel_s = lease_s + LONG_LEASE_SLACK_S;
+    site
 }
 
 /// Length of the worker leases in the cluster of [`start_long_lease_cluster`], in seconds.
@@ -111,10 +117,8 @@
     tune: fn(&mut Tuning),
     lease_s: f64,
 ) -> SharedCluster {
-    let mut site = Site::default();
+    let mut site = site_with_leases(lease_s);
     site.list_lag_s = LIST_LAG_S;
-    site.lease_s = lease_s;
-    site.cancel_s = lease_s + LONG_LEASE_SLACK_S;
     start_fleet_on(seed, 0.0, 0.0, tune, site, fleet)
 }
 
