--- a/src/coordination/messages.rs
+++ b/src/coordination/messages.rs
@@ -183,10 +183,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum StepDownReason {
     /// A worker has seen the fencing token of a later leader.
-    #[error("a worker reports a newer fencing token")]
+    #[error("worker reports a newer fencing token")]
     NewerToken,
     /// A controller of an earlier version cannot answer workers under their raised tokens.
-    #[error("a controller of an earlier version has joined")]
+    #[error("controller of an earlier version has joined")]
     OldPeer,
 }
 
