Count only exited attempts against a start that supersedes them

Several tasks of a gang could not start on one worker while no newer token was there, for example beside a controller of an earlier version: the first task of the gang, just queued, counted as an attempt that the second one supersedes, and the gang was aborted.

--- a/src/coordination/command_tokens.rs
+++ b/src/coordination/command_tokens.rs
@@ -91,7 +91,9 @@
         } else {
             task..=task
         };
-        worker.attempts(job_index, tasks).next().is_none() || {
+        let mut attempts = worker.attempts(job_index, tasks);
+        let holds_exited = attempts.any(|(_, instance)| instance.exit().is_some());
+        !holds_exited || {
             let may_raise = self.may_raise_token(worker_index);
             let token = worker.tokens.forget_token(&self.command_tokens, may_raise);
             token.is_some()
--- a/tests/repeated_commands.rs
+++ b/tests/repeated_commands.rs
@@ -175,6 +175,25 @@
     assert!(most_listed < 40, "{most_listed} tasks are listed");
 }
 
+#[test]
+fn a_gang_starts_whole_on_one_worker_that_may_not_forget_other_tasks() {
+    let mut harness = harness(1);
+    harness
+        .core
+        .enable_sharding(0, &[("host-0", "a"), ("host-1", "b")]);
+    harness.schedule(shard_status(9, 1));
+    harness.run(1.0);
+    harness.submit(&job(1, json!({"shards": 2, "runtime_s": 1.0})));
+    harness.run(10.0);
+    assert_eq!(harness.listed_tasks(WORKER), 2);
+    let gang = harness.submit(&job(
+        2,
+        json!({"shape": "group", "shards": 3, "runtime_s": 60.0}),
+    ));
+    harness.run(5.0);
+    assert_eq!(harness.instances_of(gang).len(), 3);
+}
+
 #[test]
 fn no_worker_forgets_a_direct_start_while_a_controller_of_an_earlier_version_takes_part() {
     let mut harness = harness(1);
