Keep the instance of a repeated start when no newer token is there

Found by reading: a start that was sent before and had no answer was withdrawn like a first one if its task had an exited attempt on the worker and no newer token was there. Its first message could still arrive, and the task run beside another (ran_twice). A repeated start needs no newer token: its first message has raised the worker's.

--- a/src/coordination/command_tokens.rs
+++ b/src/coordination/command_tokens.rs
@@ -105,10 +105,15 @@
         let worker = &self.workers[worker_index];
         let mut superseded = Vec::new();
         for start in commands.iter().filter(|c| c.verb == Verb::Start) {
-            let Some(job_index) = self.jobs.index_of(start.job) else {
+            let Some(id) = self.jobs.instance_id(start) else {
                 continue;
             };
-            let attempts = worker.attempts(job_index, start.task..=start.task);
+            // A repeated start goes under a token that its first message has raised, and it may
+            // have arrived, so its instance must stay.
+            if worker.instances.get(&id).is_some_and(|i| i.unacknowledged) {
+                continue;
+            }
+            let attempts = worker.attempts(id.job, id.task..=id.task);
             let exited = attempts.filter(|(_, instance)| instance.exit().is_some());
             superseded.extend(exited.map(|(id, _)| self.command(*id, Verb::Forget)));
         }
