--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -91,23 +91,27 @@
     c.state.set_out(false);
     record.say("the state service is up");
     c.wait(5.0);
-    let small = job(
-        10,
-        "conciliadiaria",
-        "operporta",
-        "sweep",
-        "urgent",
-        4,
-        1.0,
-        6.0,
-    );
+    let code = watch_end_of_small_array(&c, "operporta", "conciliadiaria", PATIENCE_S);
+    let counts: Vec<usize> = (1..=3)
+        .map(|n| tasks_done(&c, &format!("wk-{n:06}")))
+        .collect();
+    record.say(&format!("tasks of the large arrays done: {counts:?}"));
+    code
+}
+
+/// Submits an array of 4 tasks and waits until they are done on their machines. Returns 1 if the
+/// array is not called done within `patience_s` after that.
+fn watch_end_of_small_array(c: &Cluster, team: &str, class: &str, patience_s: f64) -> u8 {
+    const UID: &str = "wk-000900";
+    let record = &c.record;
+    let small = job(900, class, team, "sweep", "urgent", 4, 1.0, 3.1);
     let status = c.submit(&small, 2.0);
     record.say(&format!("the small array of 4 tasks: {status}"));
     if status != 201 {
         return NOT_RUN;
     }
-    let until = record.now() + 30.0;
-    while tasks_done(&c, "wk-000010") < 4 {
+    let until = record.now() + 20.0;
+    while tasks_done(c, UID) < 4 {
         if record.now() > until {
             record.say("the tasks of the small array did not complete");
             return NOT_RUN;
@@ -117,9 +121,9 @@
     let completed = record.now();
     record.say("all 4 tasks of the small array are done on their machines");
     let mut phase = Value::Null;
-    while record.now() - completed < PATIENCE_S {
+    while record.now() - completed < patience_s {
         c.wait(2.0);
-        if let Some(state) = c.poll("wk-000010") {
+        if let Some(state) = c.poll(UID) {
             phase = state["phase"].clone();
             if phase == "done" {
                 record.say(&format!(
@@ -130,11 +134,8 @@
             }
         }
     }
-    let counts: Vec<usize> = (1..=3)
-        .map(|n| tasks_done(&c, &format!("wk-{n:06}")))
-        .collect();
     record.say(&format!(
-        "still called {phase} {PATIENCE_S} s after its last task; tasks of the arrays done {counts:?}, leader host-{:?}",
+        "still called {phase} {patience_s} s after its last task; leader host-{:?}",
         c.leader()
     ));
     BROKEN
@@ -373,13 +374,60 @@
     BROKEN
 }
 
+/// Eight arrays run on all 16 machines, each with an image of its own. The names of the images hold
+/// the codes of a terminal for bold, underlined and green. After them, a small array is submitted and watched.
+pub fn coloured_images(record: Arc<Record>, trouble: bool) -> u8 {
+    const ARRAYS: u64 = 8;
+    const PATIENCE_S: f64 = 45.0;
+    let c = Cluster::start(lichtval(), &[(0, 16)], record.clone(), false);
+    if !c.wait_ready(20.0) {
+        record.say("the site was not ready");
+        return NOT_RUN;
+    }
+    for number in 1..=ARRAYS {
+        let mut array = job(
+            number,
+            "nachtframes",
+            "beeldteam",
+            "sweep",
+            "normal",
+            64,
+            1.0,
+            3.1,
+        );
+        let name = format!("img-{number:02}");
+        let coloured = format!("\u{1b}[1m\u{1b}[4m\u{1b}[32m{name}\u{1b}[39m\u{1b}[24m\u{1b}[0m");
+        array["bundle"] = json!(if trouble { coloured } else { name });
+        array["pull_gb"] = json!(0.1);
+        let status = c.submit(&array, 1.0);
+        if status != 201 {
+            record.say(&format!("array {number}: {status}"));
+            return NOT_RUN;
+        }
+        let uid = format!("wk-{number:06}");
+        let until = record.now() + 12.0;
+        while tasks_done(&c, &uid) < 64 {
+            if record.now() > until {
+                record.say(&format!("array {number} was not run"));
+                return NOT_RUN;
+            }
+            c.wait(0.1);
+        }
+    }
+    record.say("all arrays are done on their machines");
+    // The registry entries of the machines are written some seconds after a change of their images.
+    c.wait(12.0);
+    watch_end_of_small_array(&c, "beeldteam", "nachtframes", PATIENCE_S)
+}
+
 /// A case, given its record and whether there is the disruption.
 pub type Case = fn(Arc<Record>, bool) -> u8;
 
 /// The cases by name.
-pub const ALL: [(&str, Case); 4] = [
+pub const ALL: [(&str, Case); 5] = [
     ("large-arrays", large_arrays),
     ("bare-withdraw", bare_withdraw),
+    ("coloured-images", coloured_images),
     ("sick-machines", sick_machines),
     ("idle-machine", idle_machine),
 ];
