--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -191,79 +191,6 @@
     NOT_RUN
 }
 
-/// Two of 50 machines fail every task that they start, for 8 s. An array that was tried on them
-/// waits.
-pub fn sick_machines(record: Arc<Record>, trouble: bool) -> u8 {
-    const SICK_S: f64 = 8.0;
-    const SMALL_MACHINES: u64 = 48;
-    let machines = [(0, SMALL_MACHINES as usize), (1, 2)];
-    let c = Cluster::start(lichtval(), &machines, record.clone(), true);
-    if !c.wait_ready(20.0) {
-        record.say("the site was not ready");
-        return NOT_RUN;
-    }
-    // Previews fill the small machines for the whole time.
-    for number in 1..=SMALL_MACHINES {
-        let uid = 100 + number;
-        let mut preview = job(
-            uid,
-            "voorbeeld",
-            "beeldteam",
-            "service",
-            "production",
-            2,
-            2.0,
-            3.8,
-        );
-        preview["flavors"] = json!(["klein-kast"]);
-        if c.submit(&preview, 0.0) != 201 {
-            return NOT_RUN;
-        }
-    }
-    let until = record.now() + 10.0;
-    while (1..=SMALL_MACHINES).any(|n| c.starts(&format!("wk-{:06}", 100 + n)) < 2) {
-        if record.now() > until {
-            record.say("the previews were not started");
-            return NOT_RUN;
-        }
-        c.wait(0.1);
-    }
-    let sick = ["vm-000049", "vm-000050"];
-    let set_sick = |on: bool| {
-        let mut inner = c.site.lock();
-        for name in sick {
-            inner.workers.get_mut(name).unwrap().sick = on;
-        }
-    };
-    if trouble {
-        record.say(&format!("{sick:?} fail every task"));
-        set_sick(true);
-    }
-    let rush = job(
-        10,
-        "spoedframes",
-        "beeldteam",
-        "sweep",
-        "urgent",
-        8,
-        1.0,
-        2.4,
-    );
-    if c.submit(&rush, 5.0) != 201 {
-        return NOT_RUN;
-    }
-    if trouble {
-        c.wait(SICK_S);
-        set_sick(false);
-        let failed = c.starts("wk-000010");
-        record.say(&format!(
-            "the machines are sound again; {failed} starts failed"
-        ));
-        c.site.lock().starts.remove("wk-000010");
-    }
-    watch_waiting(&c, "wk-000010", (1.0, 0.0, 2.4), &sick, 116.0)
-}
-
 /// Four light bakes come within seconds and end. After them an array of the same rank waits beside
 /// the idle machine.
 pub fn idle_machine(record: Arc<Record>, trouble: bool) -> u8 {
@@ -420,6 +347,64 @@
     watch_end_of_small_array(&c, "beeldteam", "nachtframes", PATIENCE_S)
 }
 
+/// A guest's array of tiny tasks runs on the only machine. A replica of the porting service, which
+/// has the highest rank and fits beside them, waits.
+pub fn tiny_tasks(record: Arc<Record>, trouble: bool) -> u8 {
+    let c = Cluster::start(portasul(), &[(2, 1)], record.clone(), false);
+    if !c.wait_ready(20.0) {
+        record.say("the site was not ready");
+        return NOT_RUN;
+    }
+    let (tasks, expected) = if trouble { (1000, 600) } else { (500, 500) };
+    let mut guest = job(
+        1,
+        "sobrasnoite",
+        "operporta",
+        "sweep",
+        "best_effort",
+        tasks,
+        0.05,
+        0.3,
+    );
+    guest["runtime_s"] = json!(300.0);
+    if c.submit(&guest, 300.0) != 201 {
+        return NOT_RUN;
+    }
+    let until = record.now() + 20.0;
+    while c.starts("wk-000001") < expected {
+        if record.now() > until {
+            record.say(&format!(
+                "only {} tiny tasks were started",
+                c.starts("wk-000001")
+            ));
+            return NOT_RUN;
+        }
+        c.wait(0.1);
+    }
+    c.wait(1.0);
+    let free = c.site.room("vm-000001");
+    record.say(&format!(
+        "{} tiny tasks run; free are {:.1} CPUs and {:.1} GB",
+        c.starts("wk-000001"),
+        free.0,
+        free.2
+    ));
+    let portal = job(
+        10,
+        "pedidoporta",
+        "operporta",
+        "service",
+        "production",
+        1,
+        4.0,
+        30.0,
+    );
+    if c.submit(&portal, 0.0) != 201 {
+        return NOT_RUN;
+    }
+    watch_waiting(&c, "wk-000010", (4.0, 0.0, 30.0), &["vm-000001"], 116.0)
+}
+
 /// A case, given its record and whether there is the disruption.
 pub type Case = fn(Arc<Record>, bool) -> u8;
 
@@ -428,6 +413,6 @@
     ("large-arrays", large_arrays),
     ("bare-withdraw", bare_withdraw),
     ("coloured-images", coloured_images),
-    ("sick-machines", sick_machines),
+    ("tiny-tasks", tiny_tasks),
     ("idle-machine", idle_machine),
 ];
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -69,8 +69,6 @@
     answered: f64,
     /// A hanging machine executes nothing and answers nothing.
     pub hung: bool,
-    /// Every task that it starts fails.
-    pub sick: bool,
     tasks: BTreeMap<(String, u64), Task>,
     images: HashSet<String>,
     changed: bool,
@@ -151,7 +149,6 @@
             fence: 0,
             answered: self.record.now(),
             hung: false,
-            sick: false,
             tasks: BTreeMap::new(),
             images: HashSet::new(),
             changed: true,
@@ -282,9 +279,6 @@
                     task.phase = Phase::Running;
                     task.until = if service { f64::INFINITY } else { now + run_s };
                 }
-                if worker.sick {
-                    worker.tasks.get_mut(id).unwrap().phase = Phase::Ended("error");
-                }
                 *inner.starts.entry(uid.clone()).or_default() += 1;
                 self.log_task(name, &format!("{shard} try {attempt} is on the machine"));
                 if gang {
