--- a/review/stand-ins-2/run-case.sh
+++ b/review/stand-ins-2/run-case.sh
@@ -11,6 +11,7 @@
 CASE_PIDS=$(mktemp) || exit 2
 export CASE_PIDS
 runner=
+started=
 end_processes() {
     [ -z "$runner" ] || kill "$runner" 2>/dev/null
     while read -r pid; do
@@ -19,11 +20,13 @@
         fi
     done < "$CASE_PIDS"
     rm -f "$CASE_PIDS"
+    [ -z "$started" ] || rm -rf "${TMPDIR:-/tmp}/copperfield-review-$started"
 }
 trap end_processes EXIT
 trap 'exit 2' INT TERM HUP
 "$program" "$case_name" "$folder/record.txt" &
 runner=$!
+started=$runner
 wait "$runner"
 code=$?
 runner=
