--- /dev/null
+++ b/review/stand-ins-2/src/cases.rs
@@ -0,0 +1,385 @@
+//! The cases. Each returns 1 if the rule was broken, 0 if it held, and 2 if it could not run.
+
+use std::sync::Arc;
+
+use serde_json::{Value, json};
+
+use crate::cluster::{Cluster, job, lichtval, portasul};
+use crate::record::Record;
+
+pub const HELD: u8 = 0;
+pub const BROKEN: u8 = 1;
+pub const NOT_RUN: u8 = 2;
+
+/// How many tasks of a job are done on the machines.
+fn tasks_done(c: &Cluster, uid: &str) -> usize {
+    let prefix = format!("{uid}/");
+    c.site
+        .lock()
+        .results
+        .iter()
+        .filter(|shard| shard.starts_with(&prefix))
+        .count()
+}
+
+/// Three large arrays run, each in a zone of its own, and the state service is down for 15 s. After
+/// that, a small array is submitted and watched.
+pub fn large_arrays(record: Arc<Record>, trouble: bool) -> u8 {
+    const OUTAGE_S: f64 = 15.0;
+    const PATIENCE_S: f64 = 60.0;
+    let c = Cluster::start(portasul(), &[(0, 9), (1, 1)], record.clone(), false);
+    if !c.wait_ready(20.0) {
+        record.say("the site was not ready");
+        return NOT_RUN;
+    }
+    // Every machine gets the image first, so that its registry entry is written before the trouble.
+    let warm_up = job(
+        20,
+        "conciliadiaria",
+        "operporta",
+        "sweep",
+        "normal",
+        82,
+        1.0,
+        6.0,
+    );
+    if c.submit(&warm_up, 2.0) != 201 {
+        return NOT_RUN;
+    }
+    c.wait(16.0);
+    // (number, zone, tasks, seconds that a task runs)
+    let arrays = [
+        (1, "curitiba", 100_000, 3.0),
+        (2, "portoalegre", 62_000, 6.0),
+        (3, "floripa", 100_000, 6.0),
+    ];
+    for (number, zone, shards, run_s) in arrays {
+        let mut array = job(
+            number,
+            "conciliadiaria",
+            "operporta",
+            "sweep",
+            "normal",
+            shards,
+            1.0,
+            6.0,
+        );
+        array["region"] = json!(zone);
+        array["flavors"] = json!(["nopequeno"]);
+        let status = c.submit_varied(&array, run_s, Some((24, 600.0)));
+        record.say(&format!(
+            "array {number} of {shards} tasks in {zone}: {status}"
+        ));
+        if status != 201 {
+            return NOT_RUN;
+        }
+    }
+    let started = |n: u64| c.starts(&format!("wk-{n:06}"));
+    let until = record.now() + 15.0;
+    while (1..=3).any(|n| started(n) == 0) {
+        if record.now() > until {
+            record.say("the arrays were not started");
+            return NOT_RUN;
+        }
+        c.wait(0.1);
+    }
+    if trouble {
+        record.say("the state service is down");
+        c.state.set_out(true);
+    }
+    c.wait(OUTAGE_S);
+    c.state.set_out(false);
+    record.say("the state service is up");
+    c.wait(5.0);
+    let small = job(
+        10,
+        "conciliadiaria",
+        "operporta",
+        "sweep",
+        "urgent",
+        4,
+        1.0,
+        6.0,
+    );
+    let status = c.submit(&small, 2.0);
+    record.say(&format!("the small array of 4 tasks: {status}"));
+    if status != 201 {
+        return NOT_RUN;
+    }
+    let until = record.now() + 30.0;
+    while tasks_done(&c, "wk-000010") < 4 {
+        if record.now() > until {
+            record.say("the tasks of the small array did not complete");
+            return NOT_RUN;
+        }
+        c.wait(0.1);
+    }
+    let completed = record.now();
+    record.say("all 4 tasks of the small array are done on their machines");
+    let mut phase = Value::Null;
+    while record.now() - completed < PATIENCE_S {
+        c.wait(2.0);
+        if let Some(state) = c.poll("wk-000010") {
+            phase = state["phase"].clone();
+            if phase == "done" {
+                record.say(&format!(
+                    "it is called done {:.1} s after",
+                    record.now() - completed
+                ));
+                return HELD;
+            }
+        }
+    }
+    let counts: Vec<usize> = (1..=3)
+        .map(|n| tasks_done(&c, &format!("wk-{n:06}")))
+        .collect();
+    record.say(&format!(
+        "still called {phase} {PATIENCE_S} s after its last task; tasks of the arrays done {counts:?}, leader host-{:?}",
+        c.leader()
+    ));
+    BROKEN
+}
+
+/// Watches a job of which no task may be left waiting for 90 s while `machine` has room for one.
+/// Returns 1 if that happens, and 0 once a task of the job has started.
+fn watch_waiting(
+    c: &Cluster,
+    uid: &str,
+    needs: (f64, f64, f64),
+    machines: &[&str],
+    until: f64,
+) -> u8 {
+    const LONGEST_WAIT_S: f64 = 90.0;
+    let record = &c.record;
+    let mut room_since = None;
+    while record.now() < until {
+        c.wait(0.25);
+        let now = record.now();
+        if c.starts(uid) > 0 {
+            record.say(&format!(
+                "a task of {uid} is on a machine, {:.1} s after there was room",
+                room_since.map_or(0.0, |at| now - at)
+            ));
+            return HELD;
+        }
+        let has_room = machines.iter().any(|machine| {
+            let free = c.site.room(machine);
+            free.0 >= needs.0 && free.1 >= needs.1 && free.2 >= needs.2
+        });
+        room_since = if has_room {
+            room_since.or(Some(now))
+        } else {
+            None
+        };
+        if (now as u64).is_multiple_of(10) && now.fract() < 0.25 {
+            let state = c.poll(uid);
+            record.write(
+                "case",
+                &format!("{uid} is {state:?}, room since {room_since:?}"),
+            );
+        }
+        if room_since.is_some_and(|at| now - at > LONGEST_WAIT_S) {
+            let state = c.poll(uid);
+            record.say(&format!(
+                "{uid} has waited for {LONGEST_WAIT_S} s beside room on {machines:?}: {state:?}"
+            ));
+            return BROKEN;
+        }
+    }
+    record.say("the time was up before the wait could be judged");
+    NOT_RUN
+}
+
+/// Two of 50 machines fail every task that they start, for 8 s. An array that was tried on them
+/// waits.
+pub fn sick_machines(record: Arc<Record>, trouble: bool) -> u8 {
+    const SICK_S: f64 = 8.0;
+    const SMALL_MACHINES: u64 = 48;
+    let machines = [(0, SMALL_MACHINES as usize), (1, 2)];
+    let c = Cluster::start(lichtval(), &machines, record.clone(), true);
+    if !c.wait_ready(20.0) {
+        record.say("the site was not ready");
+        return NOT_RUN;
+    }
+    // Previews fill the small machines for the whole time.
+    for number in 1..=SMALL_MACHINES {
+        let uid = 100 + number;
+        let mut preview = job(
+            uid,
+            "voorbeeld",
+            "beeldteam",
+            "service",
+            "production",
+            2,
+            2.0,
+            3.8,
+        );
+        preview["flavors"] = json!(["klein-kast"]);
+        if c.submit(&preview, 0.0) != 201 {
+            return NOT_RUN;
+        }
+    }
+    let until = record.now() + 10.0;
+    while (1..=SMALL_MACHINES).any(|n| c.starts(&format!("wk-{:06}", 100 + n)) < 2) {
+        if record.now() > until {
+            record.say("the previews were not started");
+            return NOT_RUN;
+        }
+        c.wait(0.1);
+    }
+    let sick = ["vm-000049", "vm-000050"];
+    let set_sick = |on: bool| {
+        let mut inner = c.site.lock();
+        for name in sick {
+            inner.workers.get_mut(name).unwrap().sick = on;
+        }
+    };
+    if trouble {
+        record.say(&format!("{sick:?} fail every task"));
+        set_sick(true);
+    }
+    let rush = job(
+        10,
+        "spoedframes",
+        "beeldteam",
+        "sweep",
+        "urgent",
+        8,
+        1.0,
+        2.4,
+    );
+    if c.submit(&rush, 5.0) != 201 {
+        return NOT_RUN;
+    }
+    if trouble {
+        c.wait(SICK_S);
+        set_sick(false);
+        let failed = c.starts("wk-000010");
+        record.say(&format!(
+            "the machines are sound again; {failed} starts failed"
+        ));
+        c.site.lock().starts.remove("wk-000010");
+    }
+    watch_waiting(&c, "wk-000010", (1.0, 0.0, 2.4), &sick, 116.0)
+}
+
+/// Four light bakes come within seconds and end. After them an array of the same rank waits beside
+/// the idle machine.
+pub fn idle_machine(record: Arc<Record>, trouble: bool) -> u8 {
+    let c = Cluster::start(lichtval(), &[(2, 1)], record.clone(), true);
+    if !c.wait_ready(20.0) {
+        record.say("the site was not ready");
+        return NOT_RUN;
+    }
+    let bakes = if trouble { 4 } else { 1 };
+    for number in 1..=bakes {
+        let mut bake = job(
+            number,
+            "lichtbak",
+            "beeldteam",
+            "group",
+            "normal",
+            1,
+            10.0,
+            38.0,
+        );
+        bake["gpus"] = json!(2.0);
+        bake["one_zone"] = json!(true);
+        bake["preemptibles"] = json!(false);
+        bake["runtime_s"] = json!(3.0);
+        if c.submit(&bake, 2.0) != 201 {
+            return NOT_RUN;
+        }
+        c.wait(2.0);
+    }
+    let until = record.now() + 15.0;
+    while (1..=bakes).any(|n| tasks_done(&c, &format!("wk-{n:06}")) == 0) {
+        if record.now() > until {
+            record.say("the light bakes did not end");
+            return NOT_RUN;
+        }
+        c.wait(0.1);
+    }
+    record.say("the light bakes are done, the machine is idle");
+    c.wait(4.0);
+    let frames = job(
+        10,
+        "nachtframes",
+        "beeldteam",
+        "sweep",
+        "normal",
+        4,
+        3.0,
+        9.3,
+    );
+    if c.submit(&frames, 4.0) != 201 {
+        return NOT_RUN;
+    }
+    watch_waiting(&c, "wk-000010", (3.0, 0.0, 9.3), &["vm-000001"], 116.0)
+}
+
+/// A user asks to cancel a service. Without a body, the request has no `Content-Length` either.
+pub fn bare_withdraw(record: Arc<Record>, trouble: bool) -> u8 {
+    let c = Cluster::start(lichtval(), &[(0, 2)], record.clone(), true);
+    if !c.wait_ready(20.0) {
+        record.say("the site was not ready");
+        return NOT_RUN;
+    }
+    let preview = job(
+        1,
+        "voorbeeld",
+        "beeldteam",
+        "service",
+        "production",
+        1,
+        2.0,
+        3.8,
+    );
+    if c.submit(&preview, 0.0) != 201 {
+        return NOT_RUN;
+    }
+    c.wait(3.0);
+    let length = if trouble { "" } else { "Content-Length: 0\r\n" };
+    let request = format!(
+        "POST /work/wk-000001/withdraw HTTP/1.1\r\nHost: node\r\nAccept: */*\r\n{length}Connection: close\r\n\r\n"
+    );
+    let patience_s = c.site.settings.cancel_s + 8.0;
+    let began = record.now();
+    let (mut attempts, mut last) = (0, None);
+    while record.now() - began < patience_s {
+        last = c.ask_raw(attempts % 3, &request, 5.0);
+        attempts += 1;
+        match &last {
+            Some((200, state)) => {
+                record.say(&format!("answered after {attempts} attempts: {state}"));
+                return if state["phase"] == "withdrawn" {
+                    HELD
+                } else {
+                    BROKEN
+                };
+            }
+            Some(_) => {}
+            None => {
+                record.say("a node did not answer");
+                return NOT_RUN;
+            }
+        }
+        c.wait(1.5);
+    }
+    let state = c.poll("wk-000001");
+    record.say(&format!(
+        "{attempts} attempts in {patience_s} s, the last answered {last:?}; the job is {state:?}"
+    ));
+    BROKEN
+}
+
+/// A case, given its record and whether there is the disruption.
+pub type Case = fn(Arc<Record>, bool) -> u8;
+
+/// The cases by name.
+pub const ALL: [(&str, Case); 4] = [
+    ("large-arrays", large_arrays),
+    ("bare-withdraw", bare_withdraw),
+    ("sick-machines", sick_machines),
+    ("idle-machine", idle_machine),
+];
